--- /dev/null
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/DatabaseId.kt
@@ -0,0 +1,13 @@
+package dev.cardamomlane.core
+
+/** The name of one database group, as callers give it at startup. */
+@JvmInline
+public value class DatabaseId(public val value: String) : Comparable<DatabaseId> {
+    init {
+        require(value.isNotBlank()) { "database name must not be blank" }
+    }
+
+    override fun compareTo(other: DatabaseId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
