--- /dev/null
+++ b/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/HostState.kt
@@ -0,0 +1,4 @@
+package dev.cardamomlane.platform
+
+/** What the platform says about a listed host. */
+public enum class HostState { LIVE, LEAVING }
--- /dev/null
+++ b/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/ListedHost.kt
@@ -0,0 +1,18 @@
+package dev.cardamomlane.platform
+
+import dev.cardamomlane.core.AvailabilityZone
+import dev.cardamomlane.core.HostId
+
+/**
+ * One entry of the [HostList].
+ *
+ * @property peerAddress `ip:port` for links between hosts
+ * @property adminAddress `ip:port` of the admin endpoint
+ */
+public data class ListedHost(
+    val host: HostId,
+    val availabilityZone: AvailabilityZone,
+    val peerAddress: String,
+    val adminAddress: String,
+    val state: HostState,
+)
--- /dev/null
+++ b/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/Row.kt
@@ -0,0 +1,15 @@
+package dev.cardamomlane.platform
+
+/**
+ * One row of the [PlatformTable].
+ *
+ * @property key the name of the row: a partition, a slash and the rest, as in `config/head`
+ * @property version counts the writes of the row from 1
+ * @property value JSON text
+ */
+public data class Row(val key: String, val version: Long, val value: String) {
+    init {
+        RowKeys.requireValid(key)
+        require(version >= 1) { "version of row \"$key\" must be at least 1 but was $version" }
+    }
+}
--- /dev/null
+++ b/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/WriteOutcome.kt
@@ -0,0 +1,17 @@
+package dev.cardamomlane.platform
+
+import kotlinx.collections.immutable.ImmutableList
+
+/** What became of a [PlatformTable.write] whose answer arrived. */
+public sealed interface WriteOutcome {
+    /** Every row was written. */
+    public data object Applied : WriteOutcome
+
+    /**
+     * No row was written.
+     *
+     * @property keys the rows that had another version than expected, in the order of the writes. Empty when the
+     *   platform refused the write because another one was touching the same rows at that moment
+     */
+    public data class Conflict(val keys: ImmutableList<String>) : WriteOutcome
+}
