--- /dev/null
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/BackendMessage.kt
@@ -0,0 +1,77 @@
+package dev.cardamomlane.wire
+
+import dev.cardamomlane.wire.internal.guarded
+import dev.cardamomlane.wire.internal.readList
+import dev.cardamomlane.wire.internal.readText
+import dev.cardamomlane.wire.internal.readValue
+import io.netty.buffer.ByteBuf
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+
+/** A message from a server to a client, read as far as this project needs it. */
+public sealed interface BackendMessage {
+    /** A request for credentials of kind [code]; 0 means that none are needed any more. */
+    public data class Authentication(val code: Int) : BackendMessage
+
+    public data class ParameterStatus(val name: String, val value: String) : BackendMessage
+
+    public data class BackendKeyData(val processId: Int, val secretKey: Int) : BackendMessage
+
+    public data class ReadyForQuery(val status: TransactionStatus) : BackendMessage
+
+    public class DataRow(public val values: ImmutableList<ByteArray?>) : BackendMessage {
+        /** The value of column [index] as text, or null. */
+        public fun text(index: Int): String? = values[index]?.toString(Charsets.UTF_8)
+    }
+
+    public data class CommandComplete(val tag: String) : BackendMessage
+
+    public data class ErrorResponse(val error: ServerError) : BackendMessage
+
+    /** A message that is passed on unread, by its type. */
+    public data class Other(val type: Char) : BackendMessage
+
+    public companion object {
+        /** Tells the type of [frame] without reading its body. */
+        public fun typeOf(frame: ByteBuf): Char = frame.getByte(frame.readerIndex()).toInt().toChar()
+
+        /**
+         * Reads one typed frame, header included. The caller keeps ownership of [frame].
+         *
+         * @throws MalformedMessageException if the body doesn't match its type
+         */
+        public fun decode(frame: ByteBuf): BackendMessage {
+            val body = frame.slice()
+            val type = body.readByte().toInt().toChar()
+            body.skipBytes(Int.SIZE_BYTES)
+            return guarded(type) { decodeBody(type, body) }
+        }
+
+        private fun decodeBody(type: Char, body: ByteBuf): BackendMessage = when (type) {
+            'R' -> Authentication(body.readInt())
+            'S' -> ParameterStatus(body.readText(), body.readText())
+            'K' -> BackendKeyData(body.readInt(), body.readInt())
+            'Z' -> ReadyForQuery(TransactionStatus.decode(body.readByte()))
+            'D' -> DataRow(body.readList { readValue() }.toImmutableList())
+            'C' -> CommandComplete(body.readText())
+            'E' -> ErrorResponse(decodeError(body))
+            else -> Other(type)
+        }
+
+        private fun decodeError(body: ByteBuf): ServerError {
+            val fields = HashMap<Char, String>()
+            while (true) {
+                val code = body.readByte().toInt().toChar()
+                if (code == '\u0000') break
+                fields[code] = body.readText()
+            }
+            return ServerError(
+                sqlState = fields['C'] ?: throw MalformedMessageException("an ErrorResponse has no SQLSTATE"),
+                message = fields['M'].orEmpty(),
+                detail = fields['D'],
+                hint = fields['H'],
+                severity = fields['S'] ?: "ERROR",
+            )
+        }
+    }
+}
--- /dev/null
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/RealMessageLink.kt
@@ -0,0 +1,84 @@
+package dev.cardamomlane.wire
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import org.reactivestreams.Subscription
+import reactor.core.publisher.BaseSubscriber
+import reactor.core.publisher.Mono
+import reactor.netty.Connection
+
+/** A [MessageLink] over a Reactor Netty connection whose pipeline already cuts frames. */
+public class RealMessageLink(private val connection: Connection) : MessageLink {
+    private val channel = connection.channel()
+    private val reader = Reader()
+
+    override val allocator: ByteBufAllocator get() = channel.alloc()
+
+    override val isOpen: Boolean get() = channel.isActive
+
+    override val isWritable: Boolean get() = channel.isWritable
+
+    override fun send(frame: ByteBuf) {
+        channel.writeAndFlush(frame, channel.voidPromise())
+    }
+
+    override fun receive(listener: MessageListener) {
+        check(reader.listener == null) { "receive was called twice" }
+        reader.listener = listener
+        connection.addHandlerLast(WritableWatch(listener))
+        connection.inbound().receive().retain().subscribe(reader)
+    }
+
+    override fun pauseReads() {
+        reader.paused = true
+    }
+
+    override fun resumeReads() {
+        if (!reader.paused) return
+        reader.paused = false
+        reader.request(1)
+    }
+
+    override fun onClose(): Mono<Void> = connection.onDispose()
+
+    override fun close() {
+        if (!channel.isActive) return
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private class Reader : BaseSubscriber<ByteBuf>() {
+        var listener: MessageListener? = null
+        var paused = false
+        private var owed = true
+
+        override fun hookOnSubscribe(subscription: Subscription) {
+            if (!paused) subscription.request(1)
+        }
+
+        override fun hookOnNext(value: ByteBuf) {
+            listener?.onFrame(value)
+            if (!paused) request(1)
+        }
+
+        override fun hookOnComplete() = closed(null)
+
+        override fun hookOnError(throwable: Throwable) = closed(throwable)
+
+        private fun closed(cause: Throwable?) {
+            if (!owed) return
+            owed = false
+            listener?.onClosed(cause)
+        }
+    }
+
+    private class WritableWatch(private val listener: MessageListener) : ChannelInboundHandlerAdapter() {
+        override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+            if (context.channel().isWritable) listener.onWritable()
+            context.fireChannelWritabilityChanged()
+        }
+    }
+}
