--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/GroupDirectory.kt
@@ -0,0 +1,12 @@
+package dev.cardamomlane.daemon
+
+import dev.cardamomlane.core.DatabaseId
+
+/** The database groups of the settings. */
+public interface GroupDirectory {
+    /** Returns the group that callers name [database], or null. */
+    public fun group(database: DatabaseId): DatabaseGroup?
+
+    /** All groups, in the order of the settings. */
+    public fun groups(): List<DatabaseGroup>
+}
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/settings/SettingsReader.kt
@@ -0,0 +1,153 @@
+package dev.cardamomlane.daemon.settings
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.nonEmptyListOf
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlException
+import com.charleskorn.kaml.YamlMap
+import dev.cardamomlane.core.AvailabilityZone
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.Finding
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.Place
+import dev.cardamomlane.core.TargetId
+import kotlinx.collections.immutable.toImmutableList
+import java.net.URI
+
+/** Reads the settings file as a whole and collects every finding with its place. */
+internal class SettingsReader private constructor(private val file: String) {
+    private val findings = mutableListOf<Finding>()
+
+    private fun read(root: YamlMap): Settings {
+        val node = SettingsNode(file, root, path = "", findings)
+        val settings = Settings(
+            host = host(node.section("host") ?: empty(root)),
+            fleet = fleet(node.section("fleet") ?: empty(root)),
+            platform = platform(node.section("platform") ?: empty(root)),
+            targetUser = targetUser(node.section("targetUser") ?: empty(root)),
+            callers = callers(node.optionalSection("callers") ?: empty(root)),
+            trace = trace(node.optionalSection("trace") ?: empty(root)),
+            databases = node.sections("databases").map { database(it) }.toImmutableList(),
+        )
+        node.finish()
+        reportDuplicates(node, settings)
+        return settings
+    }
+
+    /** Stands for a section that is absent, whose absence is reported already or allowed. */
+    private fun empty(root: YamlMap): SettingsNode =
+        SettingsNode(file, YamlMap(emptyMap(), root.path), path = "", mutableListOf())
+
+    private fun host(node: SettingsNode) = HostSettings(
+        name = HostId(name(node)),
+        availabilityZone = AvailabilityZone(name(node, "availabilityZone")),
+        callerAddress = node.address("callerAddress"),
+        peerAddress = node.address("peerAddress"),
+        adminAddress = node.address("adminAddress"),
+    ).also { node.finish() }
+
+    private fun fleet(node: SettingsNode) = FleetSettings(
+        secret = name(node, "secret"),
+        heartbeatMillis = node.number("heartbeatMillis", 50..2_000, default = 250),
+    ).also { node.finish() }
+
+    private fun platform(node: SettingsNode) = PlatformSettings(
+        endpoint = uri(node, "endpoint"),
+        table = name(node, "table"),
+        region = name(node, "region"),
+        accessKey = name(node, "accessKey"),
+        secretKey = name(node, "secretKey"),
+        hostListUrl = uri(node, "hostListUrl"),
+    ).also { node.finish() }
+
+    private fun targetUser(node: SettingsNode) =
+        TargetUserSettings(name = name(node), password = node.text("password")).also { node.finish() }
+
+    private fun callers(node: SettingsNode): CallerSettings {
+        val settings = CallerSettings(
+            allowPlaintextKeys = node.flag("allowPlaintextKeys", default = false),
+            tlsCertificateFile = node.optionalText("tlsCertificateFile"),
+            tlsKeyFile = node.optionalText("tlsKeyFile"),
+            maxConnections = node.number("maxConnections", 1..100_000, default = 10_000),
+            maxMessageBytes = node.number("maxMessageBytes", 1_024..256 * MEBIBYTE, default = 32 * MEBIBYTE),
+            startDeadlineMillis = node.number("startDeadlineMillis", 10..60_000, default = 8_000),
+            confirmTimeoutMillis = node.number("confirmTimeoutMillis", 10..60_000, default = 3_000),
+            stallTimeoutMillis = node.number("stallTimeoutMillis", 100..600_000, default = 30_000),
+            drainMillis = node.number("drainMillis", 0..600_000, default = 10_000),
+        )
+        if ((settings.tlsCertificateFile == null) != (settings.tlsKeyFile == null)) {
+            node.reportAt("tlsCertificateFile", "and tlsKeyFile must be given together")
+        }
+        node.finish()
+        return settings
+    }
+
+    private fun trace(node: SettingsNode): TraceSettings {
+        val mode = node.choice("mode", TraceMode.OFF)
+        val endpoint = if (mode == TraceMode.OTLP) uri(node, "endpoint") else null
+        node.finish()
+        return TraceSettings(mode, endpoint)
+    }
+
+    private fun database(node: SettingsNode) = DatabaseSettings(
+        name = DatabaseId(name(node)),
+        targets = node.sections("targets").map { target(it) }.toImmutableList(),
+    ).also { node.finish() }
+
+    private fun target(node: SettingsNode) = TargetSettings(
+        name = TargetId(name(node)),
+        availabilityZone = AvailabilityZone(name(node, "availabilityZone")),
+        address = node.address("address"),
+        slots = node.number("slots", 1..10_000),
+        connections = node.number("connections", 1..100_000),
+    ).also { node.finish() }
+
+    private fun name(node: SettingsNode, key: String = "name"): String {
+        val text = node.text(key)
+        if (text.isNotBlank()) return text
+        if (node.isText(key)) node.reportAt(key, "must not be blank")
+        return UNKNOWN_NAME
+    }
+
+    private fun uri(node: SettingsNode, key: String): URI {
+        val text = node.text(key)
+        val uri = runCatching { URI(text) }.getOrNull()
+        if (uri?.host != null && uri.scheme in setOf("http", "https")) return uri
+        if (node.isText(key)) node.reportAt(key, "must be an http or https address but is \"$text\"")
+        return URI("http://127.0.0.1:1")
+    }
+
+    private fun reportDuplicates(node: SettingsNode, settings: Settings) {
+        val names =
+            settings.databases.map { it.name.value } + settings.databases.flatMap { it.targets }.map { it.name.value }
+        names.filter { it != UNKNOWN_NAME }.groupingBy { it }.eachCount().filterValues { it > 1 }.keys.forEach {
+            node.reportAt("databases", "hold the name \"$it\" more than once")
+        }
+    }
+
+    internal companion object {
+        private const val UNKNOWN_NAME = "unknown"
+        private const val MEBIBYTE = 1 shl 20
+
+        /** Reads [text]; [file] names it in findings. */
+        fun read(file: String, text: String): Either<NonEmptyList<Finding>, Settings> {
+            val root = try {
+                Yaml.default.parseToYamlNode(text)
+            } catch (error: YamlException) {
+                return nonEmptyListOf(Finding(Place(file, error.line, error.column), error.message)).left()
+            }
+            if (root !is YamlMap) {
+                return nonEmptyListOf(
+                    Finding(Place(file, 1, 1), "the file must hold sections"),
+                ).left()
+            }
+            val reader = SettingsReader(file)
+            val settings = reader.read(root)
+            return reader.findings.toNonEmptyListOrNull()?.left() ?: settings.right()
+        }
+    }
+}
