Core: shares of a customer's rate and burst over all hosts, with loans

Cause: a customer's rate and burst count over the whole fleet, and no coordinator may sit in the path.

Change: few holders a customer (rendezvous hashing over the members of record) hold equal shares. A loan moves rate and burst together for a term that ends at the borrower first; tokens move only together with the burst that bounds them, so the levels of all hosts never add up to more than the burst. New share starts empty. A caller of LimitBook says at each use whether the host is in good standing.

--- /dev/null
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/ShareBasis.kt
@@ -0,0 +1,57 @@
+package dev.cardamomlane.core.limits
+
+import dev.cardamomlane.core.CustomerId
+import dev.cardamomlane.core.fleet.MemberId
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.toImmutableList
+
+/**
+ * The members of record and the limits that shares are computed from.
+ *
+ * A customer's allowance is cut into equal shares among a few holders, which every host computes alike by rendezvous
+ * hashing. There are never more holders than whole tokens in the burst, so that each holder can admit a request by
+ * itself, and never more than [MAX_HOLDERS], so that a borrower asks few hosts in a fleet of any size. The shares of
+ * one customer add up to at most one.
+ */
+public class ShareBasis(
+    public val members: ImmutableList<MemberId>,
+    public val limits: ImmutableMap<CustomerId, Allowance>,
+) {
+    /** The members that hold a share of the customer's allowance, or none when the customer has no limit. */
+    public fun holders(customer: CustomerId): ImmutableList<MemberId> {
+        val limit = limits[customer] ?: return NO_HOLDERS
+        val count = holderCount(limit)
+        return members.sortedByDescending { weight(it, customer) }.take(count).toImmutableList()
+    }
+
+    /** The share of each holder of the customer's allowance. */
+    public fun share(customer: CustomerId): Allowance {
+        val limit = limits[customer] ?: return Allowance.NONE
+        return if (members.isEmpty()) Allowance.NONE else limit.scaled(1.0 / holderCount(limit))
+    }
+
+    private fun holderCount(limit: Allowance): Int =
+        limit.burst.toInt().coerceIn(1, MAX_HOLDERS).coerceAtMost(maxOf(1, members.size))
+
+    private fun weight(member: MemberId, customer: CustomerId): Long {
+        val seed = member.host.value.hashCode() * HOST_FACTOR + customer.value.hashCode() * CUSTOMER_FACTOR
+        return mix(seed)
+    }
+
+    private fun mix(seed: Long): Long {
+        var value = seed
+        value = (value xor (value ushr 30)) * -0x40a7b892e31b1a47L
+        value = (value xor (value ushr 27)) * -0x6b2fb644ecceee15L
+        return value xor (value ushr 31)
+    }
+
+    /** Bounds of the computation. */
+    public companion object {
+        /** The most members that hold a share of one customer's allowance. */
+        public const val MAX_HOLDERS: Int = 8
+        private const val HOST_FACTOR = -0x61c8864680b583ebL
+        private const val CUSTOMER_FACTOR = -0x3d4d51c2d82b14b1L
+        private val NO_HOLDERS: ImmutableList<MemberId> = emptyList<MemberId>().toImmutableList()
+    }
+}
--- /dev/null
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/FaultyFleet.kt
@@ -0,0 +1,132 @@
+package dev.cardamomlane.core.limits
+
+import dev.cardamomlane.core.CustomerId
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.fleet.MemberId
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableList
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** A defect that a run can be given, to show that the check finds it. */
+public enum class Defect { NONE, LENDER_KEEPS_SHARE, LEASE_NOT_TESTED, LOAN_OUTLASTS_TERM }
+
+/**
+ * A few [LimitBook]s over a network that loses, delays and duplicates messages, with pauses, clocks of different
+ * rates, and one member excluded while another joins. Callers take every token they can get.
+ */
+internal class FaultyFleet(seed: Long, private val limit: Allowance, private val defect: Defect) {
+    private val random = Random(seed)
+    private val customer = CustomerId("club")
+    private val queue = PriorityQueue(compareBy<Event>({ it.atMillis }, { it.order }))
+    private var order = 0
+    private var trueMillis = 0L
+    private val hosts = List(random.nextInt(2, 7)) { SimHost(MemberId(HostId("host-$it"), incarnation = 1)) }
+    private val admittedAtMillis = ArrayList<Long>()
+
+    /** Runs for ten seconds and returns the true times of all admitted requests. */
+    fun run(): List<Long> {
+        val old = basis(hosts.dropLast(1))
+        val excluded = hosts.first()
+        val new = basis(hosts.drop(1))
+        hosts.forEach { it.install(listOf(old)) }
+        scheduleChange(old, new, excluded)
+        hosts.forEach { host -> scheduleLoad(host) }
+        while (queue.isNotEmpty()) {
+            val event = queue.poll()
+            trueMillis = event.atMillis
+            if (trueMillis > RUN_MILLIS) break
+            event.action()
+        }
+        return admittedAtMillis
+    }
+
+    private fun scheduleChange(old: ShareBasis, new: ShareBasis, excluded: SimHost) {
+        val heardMillis = random.nextLong(2_000, 4_000)
+        val settledMillis = heardMillis + SETTLE_MILLIS
+        at(heardMillis + random.nextLong(STANDING_MILLIS)) { excluded.inStanding = false }
+        for (host in hosts - excluded) {
+            at(heardMillis + random.nextLong(STANDING_MILLIS)) { host.install(listOf(old, new)) }
+            at(settledMillis + random.nextLong(STANDING_MILLIS)) { host.install(listOf(new)) }
+        }
+    }
+
+    private fun scheduleLoad(host: SimHost) {
+        val perSecond = limit.ratePerSecond * random.nextDouble(0.1, 4.0)
+        var atMillis = 0L
+        while (atMillis < RUN_MILLIS) {
+            atMillis += (random.nextDouble() * 2_000 / perSecond).toLong() + 1
+            if (random.nextInt(200) == 0) atMillis += random.nextLong(2_000)
+            at(atMillis) { host.request() }
+        }
+        for (tickMillis in 0L until RUN_MILLIS step 100) at(tickMillis) { host.tick() }
+        repeat(random.nextInt(3)) { host.pauseAt(random.nextLong(RUN_MILLIS), random.nextLong(3_000)) }
+    }
+
+    private fun basis(members: List<SimHost>) =
+        ShareBasis(members.map { it.id }.toImmutableList(), persistentMapOf(customer to limit))
+
+    private fun at(millis: Long, action: () -> Unit) {
+        queue.add(Event(millis, order++, action))
+    }
+
+    private fun transmit(from: SimHost, to: MemberId, message: ShareMessage) {
+        val receiver = hosts.first { it.id == to }
+        if (random.nextInt(10) == 0) return
+        val copies = if (random.nextInt(5) == 0) 2 else 1
+        repeat(copies) {
+            val delayMillis = if (random.nextInt(5) == 0) random.nextLong(3_000) else random.nextLong(5)
+            at(trueMillis + delayMillis) { receiver.receive(from, message) }
+        }
+        if (defect == Defect.LENDER_KEEPS_SHARE && message is ShareMessage.Lend) {
+            at(trueMillis) { from.receive(receiver, ShareMessage.Return(customer, message.sequence, tokens = 0.0)) }
+        }
+    }
+
+    private inner class SimHost(val id: MemberId) {
+        private val clockRate = 1 + random.nextDouble(-CLOCK_RATE_ERROR, CLOCK_RATE_ERROR)
+        private val clockOffset = random.nextLong(1_000_000)
+        private val book = LimitBook(id, { to, message -> transmit(this, to, message) })
+        private var pausedUntilMillis = 0L
+        var inStanding = true
+
+        private fun now() = clockOffset + (trueMillis * clockRate).toLong()
+
+        fun install(bases: List<ShareBasis>) = book.install(ShareTable(bases.toImmutableList()), now())
+
+        fun pauseAt(startMillis: Long, lengthMillis: Long) = at(startMillis) {
+            pausedUntilMillis =
+                startMillis + lengthMillis
+        }
+
+        fun tick() = unlessPaused { book.tick(now()) }
+
+        fun receive(from: SimHost, message: ShareMessage) = unlessPaused {
+            val seen = if (defect == Defect.LOAN_OUTLASTS_TERM && message is ShareMessage.Lend) {
+                message.copy(termMillis = message.termMillis * 4)
+            } else {
+                message
+            }
+            book.onMessage(from.id, seen, isServing(), now())
+        }
+
+        fun request() = unlessPaused {
+            if (book.admit(customer, isServing(), now()) == Admission.Admitted) admittedAtMillis += trueMillis
+        }
+
+        private fun isServing() = inStanding || defect == Defect.LEASE_NOT_TESTED
+
+        private fun unlessPaused(action: () -> Unit) {
+            if (trueMillis < pausedUntilMillis) at(pausedUntilMillis) { unlessPaused(action) } else action()
+        }
+    }
+
+    private class Event(val atMillis: Long, val order: Int, val action: () -> Unit)
+
+    companion object {
+        const val RUN_MILLIS = 12_000L
+        const val CLOCK_RATE_ERROR = 0.01
+        private const val STANDING_MILLIS = 2_500L
+        private const val SETTLE_MILLIS = 3_500L
+    }
+}
