--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/sql/StatementScanner.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/sql/StatementScanner.kt
@@ -42,7 +42,7 @@
     private fun openParenthesis() {
         depth++
         val name = previous?.takeIf { it.isName } ?: return
-        if (beforePrevious.isAnyWord("as", "with", "recursive", "into")) return
+        if (name === head.first() || beforePrevious.isAnyWord("as", "with", "recursive", "into")) return
         unsupportedReason = unsupportedReason ?: SqlWords.unsupportedFunctions[name.text.lowercase()]
         if (isQualified() || !SqlWords.isHarmlessBeforeParenthesis(name)) writeSeen = true
     }
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/sql/TableCollector.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/sql/TableCollector.kt
@@ -84,7 +84,7 @@
         val text = token.text
         when {
             previous.isDot() -> Unit
-            text == "values" && previous?.isSymbol('(') == true -> endFrom()
+            text in queryStarts && previous?.isSymbol('(') == true -> endFrom()
             text == "on" -> expectation = Expectation.NOTHING
             text in skippedBeforeName && expectation != Expectation.NOTHING -> Unit
             text == "from" -> if (opensFrom()) expectFromItem()
@@ -126,6 +126,7 @@
     private companion object {
         val fromInsideCall = setOf("extract", "substring", "trim", "overlay")
         val skippedBeforeName = setOf("only", "lateral", "if", "not", "exists", "table", "concurrently")
+        val queryStarts = setOf("values", "with")
         val targetWords = setOf("into", "update", "table", "truncate")
 
         /** Reserved words only: a word that may name a column could hide the rest of a FROM list. */
