--- /dev/null
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverMachine.kt
@@ -0,0 +1,241 @@
+package dev.cardamomlane.core.failover
+
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.group.GroupMonitor
+import kotlin.random.Random
+
+/**
+ * Runs the failover of one database group for one daemon.
+ *
+ * A suspicion that peers confirm leads to the claim of the next term in the platform's table, the fence of a majority
+ * of the targets at that term, the promotion of the fenced target with the highest received position, and the news to
+ * peers. What keeps terms apart are the targets, which grant each term to one claimant: two claimants never both have
+ * a majority at one term. The claim at the platform only keeps daemons from racing, so an attempt goes on without it
+ * when the platform does not answer in time.
+ *
+ * An attempt never uses a term again: whenever one is given up, the next takes a higher term. Every action may be
+ * repeated, may take effect without an answer, and may be done by several daemons at once.
+ *
+ * Not safe for use by several threads.
+ *
+ * @property claimant names this machine at targets and platform; must differ after each start of the process
+ */
+public class FailoverMachine(
+    private val host: HostId,
+    private val claimant: String,
+    private val monitor: GroupMonitor,
+    private val random: Random,
+    private val settings: FailoverSettings = FailoverSettings(),
+) {
+    private val trigger = FailoverTrigger(monitor, settings)
+    private val limit = PromotionLimit()
+    private val actions = ArrayList<FailoverAction>()
+    private var phase: Phase = Phase.Idle()
+    private var knownTerm = monitor.term
+    private var highestTerm = 0L
+    private var silentAsks = 0
+    private var repairedAtMillis: Long? = null
+
+    /** Why the current attempt runs, or null while none does. */
+    public var attempt: FailoverReason? = null
+        private set
+
+    /** What this daemon answers to peers that ask at [nowMillis]. */
+    public fun view(nowMillis: Long): PeerView = PeerView(host, monitor.term, monitor.primary, trigger.reach(nowMillis))
+
+    /** Takes in [event] at [nowMillis] and returns what is to be done, in this order. */
+    public fun on(event: FailoverEvent, nowMillis: Long): List<FailoverAction> {
+        trigger.update(nowMillis)
+        accept(event, nowMillis)
+        noticeTerm(nowMillis)
+        advance(nowMillis)
+        repair(nowMillis)
+        return actions.toList().also { actions.clear() }
+    }
+
+    private fun accept(event: FailoverEvent, nowMillis: Long) {
+        when (event) {
+            FailoverEvent.Tick -> Unit
+            is FailoverEvent.PeersAsked -> (phase as? Phase.Asking)?.tally?.onAsked(event.peers)
+            is FailoverEvent.PeerAnswered -> onPeer(event.view)
+            is FailoverEvent.ClaimAnswered -> onClaim(event, nowMillis)
+            is FailoverEvent.FenceAnswered -> onFence(event, nowMillis)
+            is FailoverEvent.PromoteAnswered -> onPromote(event, nowMillis)
+            is FailoverEvent.TermAnnounced -> monitor.onTerm(event.term, event.primary)
+        }
+    }
+
+    private fun onPeer(view: PeerView) {
+        if (view.primary != null && view.term > monitor.term) monitor.onTerm(view.term, view.primary)
+        (phase as? Phase.Asking)?.tally?.onAnswer(view)
+    }
+
+    private fun onClaim(event: FailoverEvent.ClaimAnswered, nowMillis: Long) {
+        val claiming = phase as? Phase.Claiming ?: return
+        if (event.term != claiming.term) return
+        when (val outcome = event.outcome) {
+            ClaimOutcome.Won, ClaimOutcome.Unknown -> startFencing(claiming, nowMillis)
+            is ClaimOutcome.Lost -> backOff(outcome.term, nowMillis)
+        }
+    }
+
+    private fun onFence(event: FailoverEvent.FenceAnswered, nowMillis: Long) {
+        highestTerm = maxOf(highestTerm, event.status.fenceTerm)
+        val fencing = phase as? Phase.Fencing ?: return
+        if (event.term != fencing.term) return
+        when {
+            event.granted -> fencing.tally.onGranted(event.target, event.status, nowMillis)
+            event.status.fenceTerm >= fencing.term -> backOff(event.status.fenceTerm, nowMillis)
+        }
+    }
+
+    private fun onPromote(event: FailoverEvent.PromoteAnswered, nowMillis: Long) {
+        val promoting = phase as? Phase.Promoting ?: return
+        if (event.term != promoting.term || event.target != promoting.target) return
+        if (event.granted) announce(promoting) else backOff(promoting.term, nowMillis)
+    }
+
+    private fun announce(promoting: Phase.Promoting) {
+        monitor.onTerm(promoting.term, promoting.target)
+        actions += FailoverAction.AnnounceTerm(promoting.term, promoting.target, claimant)
+        monitor.targets.filter { it.id != promoting.target }
+            .forEach { actions += FailoverAction.Follow(it.id, promoting.term, promoting.target) }
+        stop(Phase.Idle())
+    }
+
+    private fun noticeTerm(nowMillis: Long) {
+        if (monitor.term <= knownTerm) return
+        knownTerm = monitor.term
+        limit.onNewTerm(nowMillis)
+        when (val current = phase) {
+            // Once targets are fenced at a later term, only that attempt can give the group a primary again.
+            is Phase.Fencing -> if (monitor.term >= current.term) stop(Phase.Idle())
+            is Phase.Promoting -> if (monitor.term >= current.term) stop(Phase.Idle())
+            else -> stop(Phase.Idle())
+        }
+    }
+
+    private fun advance(nowMillis: Long) {
+        when (val current = phase) {
+            is Phase.Idle -> advanceIdle(current, nowMillis)
+            is Phase.Asking -> advanceAsking(current, nowMillis)
+            is Phase.Staggering -> advanceStaggering(current, nowMillis)
+            is Phase.Claiming ->
+                if (nowMillis - current.sinceMillis >= settings.claimBoundMillis) startFencing(current, nowMillis)
+            is Phase.Fencing -> advanceFencing(current, nowMillis)
+            is Phase.Promoting -> advancePromoting(current, nowMillis)
+        }
+    }
+
+    private fun advanceIdle(idle: Phase.Idle, nowMillis: Long) {
+        val reason = trigger.reason(nowMillis) ?: return
+        if (nowMillis < idle.notBeforeMillis || (reason.isLimited && !limit.allows(nowMillis))) return
+        attempt = reason
+        if (reason == FailoverReason.PRIMARY_UNREACHABLE) {
+            silentAsks = 0
+            ask(nowMillis)
+        } else {
+            // The targets themselves show these reasons, so peers could add nothing.
+            phase = Phase.Staggering(reason, nowMillis + random.nextLong(settings.staggerMillis))
+        }
+    }
+
+    private fun ask(nowMillis: Long) {
+        phase = Phase.Asking(nowMillis, PeerTally(nowMillis))
+        actions += FailoverAction.AskPeers(monitor.term)
+    }
+
+    private fun advanceAsking(asking: Phase.Asking, nowMillis: Long) {
+        if (trigger.reason(nowMillis) != FailoverReason.PRIMARY_UNREACHABLE) return stop(Phase.Idle())
+        val tally = asking.tally
+        if (!tally.isComplete(nowMillis, settings)) return
+        silentAsks = if (tally.isSilent) silentAsks + 1 else 0
+        val isAlone = !tally.any(PrimaryReach.FAILING) && (!tally.isSilent || silentAsks >= settings.loneAsks)
+        when {
+            tally.any(PrimaryReach.REACHED) -> stop(Phase.Idle(nowMillis + settings.askTimeoutMillis))
+            tally.any(PrimaryReach.SUSPECTED) -> stagger(tally.suspecting(), nowMillis)
+            isAlone && trigger.isQuiet(nowMillis) -> stagger(emptyList(), nowMillis)
+            nowMillis - asking.askedAtMillis >= settings.askRetryMillis -> ask(nowMillis)
+        }
+    }
+
+    /** Lets the peer with the lowest rank act first; each further rank waits a random part of a longer delay. */
+    private fun stagger(peers: List<HostId>, nowMillis: Long) {
+        val rank = peers.count { rankOf(it) < rankOf(host) }
+        val delayMillis = if (rank == 0) 0 else settings.staggerMillis / 2 + random.nextLong(settings.staggerMillis)
+        phase = Phase.Staggering(FailoverReason.PRIMARY_UNREACHABLE, nowMillis + delayMillis)
+        if (delayMillis == 0L) advance(nowMillis)
+    }
+
+    private fun rankOf(peer: HostId): Int = "${monitor.database}/${monitor.term}/$peer".hashCode()
+
+    private fun advanceStaggering(staggering: Phase.Staggering, nowMillis: Long) {
+        if (trigger.reason(nowMillis) != staggering.reason) return stop(Phase.Idle())
+        if (nowMillis < staggering.untilMillis) return
+        val fenced = monitor.reachableReports().maxOfOrNull { it.status.fenceTerm } ?: 0
+        val term = maxOf(monitor.term, highestTerm, fenced) + 1
+        highestTerm = term
+        phase = Phase.Claiming(staggering.reason, term, nowMillis)
+        actions += FailoverAction.ClaimTerm(term, claimant)
+    }
+
+    private fun startFencing(claiming: Phase.Claiming, nowMillis: Long) {
+        val avoided = if (claiming.reason.avoidsPrimary) setOfNotNull(monitor.primary) else emptySet()
+        phase = Phase.Fencing(claiming.term, nowMillis, FenceTally(monitor, avoided))
+        monitor.targets.forEach { actions += FailoverAction.Fence(it.id, claiming.term, claimant) }
+    }
+
+    private fun advanceFencing(fencing: Phase.Fencing, nowMillis: Long) {
+        if (fencing.tally.isComplete(nowMillis, settings.fenceGraceMillis)) return startPromoting(fencing, nowMillis)
+        if (nowMillis - fencing.sinceMillis >= settings.fenceTimeoutMillis) return backOff(fencing.term, nowMillis)
+        if (nowMillis - fencing.sentAtMillis < settings.commandRetryMillis) return
+        fencing.sentAtMillis = nowMillis
+        monitor.targets.filterNot { fencing.tally.isGranted(it.id) }
+            .forEach { actions += FailoverAction.Fence(it.id, fencing.term, claimant) }
+    }
+
+    private fun startPromoting(fencing: Phase.Fencing, nowMillis: Long) {
+        val target = fencing.tally.best()
+        phase = Phase.Promoting(fencing.term, target, nowMillis)
+        actions += FailoverAction.Promote(target, fencing.term, claimant)
+    }
+
+    private fun advancePromoting(promoting: Phase.Promoting, nowMillis: Long) {
+        val sinceMillis = nowMillis - promoting.sinceMillis
+        val lost = monitor.reachability(promoting.target).newConnectionFailures >= settings.newConnectionFailures &&
+            sinceMillis >= settings.suspicionMillis
+        if (lost || sinceMillis >= settings.promoteTimeoutMillis) return backOff(promoting.term, nowMillis)
+        if (nowMillis - promoting.sentAtMillis < settings.commandRetryMillis) return
+        promoting.sentAtMillis = nowMillis
+        actions += FailoverAction.Promote(promoting.target, promoting.term, claimant)
+    }
+
+    private fun backOff(seenTerm: Long, nowMillis: Long) {
+        highestTerm = maxOf(highestTerm, seenTerm)
+        val delayMillis = random.nextLong(settings.backoffMinMillis, settings.backoffMaxMillis)
+        stop(Phase.Idle(nowMillis + delayMillis))
+    }
+
+    private fun stop(idle: Phase.Idle) {
+        phase = idle
+        attempt = null
+    }
+
+    /** Tells targets that do not follow the primary of the current term to do so, an old primary included. */
+    private fun repair(nowMillis: Long) {
+        val primary = monitor.primary ?: return
+        if (phase !is Phase.Idle || nowMillis - (repairedAtMillis ?: NEVER) < settings.repairMillis) return
+        val strays = monitor.reachableReports().filter { report ->
+            val status = report.status
+            val follows = status.fenceTerm == monitor.term && status.following == primary
+            report.target != primary && status.fenceTerm <= monitor.term && !follows
+        }
+        if (strays.isEmpty()) return
+        repairedAtMillis = nowMillis
+        strays.forEach { actions += FailoverAction.Follow(it.target, monitor.term, primary) }
+    }
+
+    private companion object {
+        const val NEVER = Long.MIN_VALUE / 2
+    }
+}
--- /dev/null
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/PeerView.kt
@@ -0,0 +1,12 @@
+package dev.cardamomlane.core.failover
+
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.TargetId
+
+/**
+ * What a daemon knows of a group, as it answers its peers.
+ *
+ * @property term the highest term the daemon knows a primary of, 0 for none
+ * @property primary the primary of [term]
+ */
+public data class PeerView(val host: HostId, val term: Long, val primary: TargetId?, val reach: PrimaryReach)
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/group/GroupMonitor.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/group/GroupMonitor.kt
@@ -62,6 +62,8 @@
         round.answers[target] = status
         state.onReport(TargetReport(target, status, round.sentAtMillis, nowMillis), timeline)
         if (status.isPrimaryInTerm) adopt(status.fenceTerm, target)
+        // A target follows a primary only after that primary was promoted in the term.
+        status.following?.takeIf { it in states }?.let { adopt(status.fenceTerm, it) }
         if (round.answers.size >= majority) {
             takeSample(round)
             floorAsks.answer(round)
@@ -108,9 +110,13 @@
     /** The estimated replay lag of [target]. */
     public fun lagMillis(target: TargetId): Double = state(target).lag.millis
 
-    /** The reports of all targets that have answered since [sinceMillis]. */
-    public fun reportsSince(sinceMillis: Long): List<TargetReport> =
-        states.values.mapNotNull { it.report }.filter { it.answeredAtMillis >= sinceMillis }
+    /** The last reports of all targets whose last poll was answered. */
+    public fun reachableReports(): List<TargetReport> =
+        states.values.filter { it.reachability.failures == 0 }.mapNotNull { it.report }
+
+    /** Whether a majority of the targets answers. */
+    public val reachesMajority: Boolean
+        get() = reachableReports().size >= majority
 
     private fun state(target: TargetId): TargetState =
         requireNotNull(states[target]) { "database $database has no target $target" }
