Fleet: only accepted revisions are in force; changes settle without a new read

Cause: a proposal may be superseded (ConfigurationStore), so a host must not use one that it can't know to be accepted.

Change: the configuration in force is the last accepted one that the host heard of. The writer of an acceptance takes its own write's answer as word of it, and a due write goes out at a heartbeat on the rows last read. Revisions are read by ConfigurationStore, not by a second decoder.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetEvent.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetEvent.kt
@@ -13,8 +13,8 @@
     /** The platform did not answer a read or a scan. */
     public data object PlatformFailed : FleetEvent
 
-    /** A write of the control rows ended, with whatever outcome. */
-    public data object ControlWriteEnded : FleetEvent
+    /** A write of the control rows ended. [written] is null when it had no effect or its effect is unknown. */
+    public data class ControlWriteEnded(val written: ControlRows?) : FleetEvent
 
     /** The platform answered a scan of the leases. */
     public data class LeasesRead(val leases: ImmutableList<LeaseRow>) : FleetEvent
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetMachine.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetMachine.kt
@@ -63,17 +63,8 @@
         }
     }
 
-    /**
-     * The configuration in force, or null while its content is not here.
-     *
-     * A proposal is never withdrawn. A host that holds one and has no word from the platform can't know whether it was
-     * accepted, and uses it.
-     */
-    public fun configuration(nowMillis: Long): Configuration? {
-        val accepted = slots.accepted ?: return null
-        val proposed = slots.proposed ?: return accepted
-        return if (hasPlatformEvidence(nowMillis)) accepted else proposed
-    }
+    /** The configuration in force, or null while its content is not here. */
+    public val configuration: Configuration? get() = slots.accepted
 
     /** The content of a revision that another member asks for, or null. */
     public fun content(revision: Long): Configuration? =
@@ -86,7 +77,7 @@
             FleetEvent.Beat -> onBeat(nowMillis, actions)
             is FleetEvent.PlatformRead -> onPlatformRead(event, nowMillis, actions)
             FleetEvent.PlatformFailed -> polling.failed(nowMillis)
-            FleetEvent.ControlWriteEnded -> steward.writeEnded()
+            is FleetEvent.ControlWriteEnded -> onControlWriteEnded(event)
             is FleetEvent.LeasesRead -> leases.read(event.leases, nowMillis)
             FleetEvent.LeaseTaken -> isOver = true
             is FleetEvent.RevisionLoaded -> slots.load(event.configuration)
@@ -111,6 +102,11 @@
             actions += FleetAction.RenewLease
         }
         actions += loading.due(slots.missing, from = null, nowMillis)
+        writeIfDue(nowMillis, actions)
+    }
+
+    private fun writeIfDue(nowMillis: Long, actions: MutableList<FleetAction>) {
+        if (!isOver) steward.next(level, nowMillis)?.let { actions += it }
     }
 
     private fun askPeers(nowMillis: Long, actions: MutableList<FleetAction>) {
@@ -132,7 +128,14 @@
             platformMillis = maxOf(platformMillis, event.askedAtMillis)
         }
         actions += loading.due(slots.missing, from = null, nowMillis)
-        if (!isOver) steward.next(event.rows, level, nowMillis)?.let { actions += it }
+        steward.read(event.rows)
+        writeIfDue(nowMillis, actions)
+    }
+
+    private fun onControlWriteEnded(event: FleetEvent.ControlWriteEnded) {
+        val written = event.written ?: return
+        adopt(written.record)
+        slots.learn(written.head)
     }
 
     private fun onQuestion(event: FleetEvent.Question, nowMillis: Long, actions: MutableList<FleetAction>) {
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/RevisionHead.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/RevisionHead.kt
@@ -4,7 +4,7 @@
  * Which revisions of the configuration there are.
  *
  * @property accepted the revision in force; it only rises
- * @property proposed the revision that is to be accepted next, or null. A proposal is never withdrawn
+ * @property proposed the revision that is to be accepted next, or null. A later proposal may take its place
  */
 public data class RevisionHead(val accepted: Long, val proposed: Long?) {
     init {
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/Steward.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/Steward.kt
@@ -14,11 +14,12 @@
     private val leases: LeaseWatch,
     private val confirmations: Confirmations,
 ) {
-    private var isWriting = false
+    private var lastRead: ControlRows? = null
     private var scannedMillis: Long? = null
 
-    fun writeEnded() {
-        isWriting = false
+    /** Notes the rows as the platform showed them, which the next write is conditional on. */
+    fun read(rows: ControlRows) {
+        lastRead = rows
     }
 
     fun isScanDue(nowMillis: Long): Boolean {
@@ -27,10 +28,11 @@
         return isDue
     }
 
-    fun next(rows: ControlRows, level: KnowledgeLevel, nowMillis: Long): FleetAction? {
-        if (isWriting) return null
+    /** The write that is due, at most one for each read. */
+    fun next(level: KnowledgeLevel, nowMillis: Long): FleetAction? {
+        val rows = lastRead ?: return null
         val new = newRows(rows, level, nowMillis) ?: return null
-        isWriting = true
+        lastRead = null
         return FleetAction.WriteControl(rows, new)
     }
 
--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/fleet/SimFleet.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/fleet/SimFleet.kt
@@ -105,9 +105,11 @@
                 at(nowMillis + 50) { from.on(failure) }
             } else {
                 val event = answer()
-                val isLost = answersToLose > 0 && event == FleetEvent.ControlWriteEnded
+                val isLost = answersToLose > 0 && event is FleetEvent.ControlWriteEnded
                 if (isLost) answersToLose--
-                at(nowMillis + if (isLost) 1_000 else platformDelayMillis / 2) { from.on(event) }
+                at(nowMillis + if (isLost) 1_000 else platformDelayMillis / 2) {
+                    from.on(if (isLost) failure else event)
+                }
             }
         }
     }
@@ -125,7 +127,7 @@
 
         fun stands() = machine.isInStanding(nowMillis)
 
-        fun revision() = machine.configuration(nowMillis)?.revision
+        fun revision() = machine.configuration?.revision
 
         fun pause(millis: Long) {
             pausedUntilMillis = nowMillis + millis
@@ -154,7 +156,7 @@
                 )
                 FleetAction.RenewLease -> askPlatform(this, ::renew, FleetEvent.PlatformFailed)
                 is FleetAction.LoadRevision -> load(action)
-                is FleetAction.WriteControl -> askPlatform(this, { write(action) }, FleetEvent.ControlWriteEnded)
+                is FleetAction.WriteControl -> askPlatform(this, { write(action) }, FleetEvent.ControlWriteEnded(null))
                 is FleetAction.InstallShares -> shares = action.table
             }
         }
@@ -168,20 +170,19 @@
             val earlier = leases[id.host]
             if (earlier != null && earlier.member.id.incarnation > id.incarnation) return FleetEvent.LeaseTaken
             leases[id.host] = LeaseRow(self, (earlier?.rowVersion ?: 0) + 1, isRetired = false)
-            return FleetEvent.ControlWriteEnded
+            return FleetEvent.ControlWriteEnded(null)
         }
 
         private fun write(action: FleetAction.WriteControl): FleetEvent {
             val expected = action.expected
-            if (expected.recordRowVersion == control.recordRowVersion &&
+            val isExpected = expected.recordRowVersion == control.recordRowVersion &&
                 expected.headRowVersion == control.headRowVersion
-            ) {
-                control = action.new.copy(
-                    recordRowVersion = control.recordRowVersion + 1,
-                    headRowVersion = control.headRowVersion + 1,
-                )
-            }
-            return FleetEvent.ControlWriteEnded
+            if (!isExpected) return FleetEvent.ControlWriteEnded(null)
+            control = action.new.copy(
+                recordRowVersion = control.recordRowVersion + 1,
+                headRowVersion = control.headRowVersion + 1,
+            )
+            return FleetEvent.ControlWriteEnded(control)
         }
 
         private fun load(action: FleetAction.LoadRevision) {
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/ControlTable.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/ControlTable.kt
@@ -4,6 +4,7 @@
 import dev.cardamomlane.core.fleet.ControlRows
 import dev.cardamomlane.core.fleet.LeaseRow
 import dev.cardamomlane.platform.ConditionalWrite
+import dev.cardamomlane.platform.ConfigurationStore
 import dev.cardamomlane.platform.PlatformTable
 import dev.cardamomlane.platform.Row
 import dev.cardamomlane.platform.WriteOutcome
@@ -15,6 +16,8 @@
 
 /** The rows of the platform's table that the fleet's changes go through. */
 internal class ControlTable(private val table: PlatformTable) {
+    private val store = ConfigurationStore(table)
+
     /** Reads the record first and the head second, as of this subscription. */
     fun read(): Mono<ControlRows> = optional(RECORD_KEY).flatMap { record ->
         optional(HEAD_KEY).map { head -> controlRows(record, head) }
@@ -33,9 +36,9 @@
         FleetRows.decodeLease(it)
     }.collectList().map { it.toImmutableList() }
 
-    /** Reads the content of a revision. */
+    /** Reads the content of a revision. Empty when there is none or its rules don't parse. */
     fun revision(revision: Long): Mono<Configuration> =
-        table.get("$REVISION_PREFIX$revision").mapNotNull { FleetRows.decodeRevision(revision, it) }
+        store.read(revision).mapNotNull { it.toConfiguration().getOrNull() }
 
     private fun optional(key: String): Mono<Optional<Row>> =
         table.get(key).map { Optional.of(it) }.defaultIfEmpty(Optional.empty())
@@ -51,6 +54,5 @@
         const val LEASE_PREFIX = "member/"
         private const val RECORD_KEY = "record/members"
         private const val HEAD_KEY = "config/head"
-        private const val REVISION_PREFIX = "config/revision/"
     }
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/FleetRows.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/FleetRows.kt
@@ -1,17 +1,11 @@
 package dev.cardamomlane.daemon.fleet
 
-import dev.cardamomlane.core.CustomerId
 import dev.cardamomlane.core.HostId
-import dev.cardamomlane.core.fleet.Configuration
 import dev.cardamomlane.core.fleet.LeaseRow
 import dev.cardamomlane.core.fleet.Member
 import dev.cardamomlane.core.fleet.MemberId
 import dev.cardamomlane.core.fleet.MemberRecord
 import dev.cardamomlane.core.fleet.RevisionHead
-import dev.cardamomlane.core.keys.KeyId
-import dev.cardamomlane.core.keys.KeyRecord
-import dev.cardamomlane.core.keys.KeyRing
-import dev.cardamomlane.core.rules.RuleSet
 import dev.cardamomlane.platform.Row
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.serialization.Serializable
@@ -56,14 +50,6 @@
         null
     }
 
-    /** The configuration in [row], or null when its rules don't parse. */
-    fun decodeRevision(revision: Long, row: Row): Configuration? {
-        val value = json.decodeFromString(RevisionValue.serializer(), row.value)
-        val rules = RuleSet.parse("revision $revision", value.rules).getOrNull() ?: return null
-        val keys = value.keys.map { KeyRecord(KeyId(it.id), CustomerId(it.customer), it.hash) }
-        return Configuration(revision, rules, value.rules, KeyRing(keys))
-    }
-
     private fun value(member: Member) = MemberValue(member.id.host.value, member.id.incarnation, member.peerAddress)
 
     private fun member(value: MemberValue) = Member(MemberId(HostId(value.host), value.incarnation), value.peerAddress)
@@ -79,10 +65,4 @@
 
     @Serializable
     private class LeaseValue(val incarnation: Long, val peerAddress: String, val retired: Boolean = false)
-
-    @Serializable
-    private class KeyValue(val id: String, val customer: String, val hash: String)
-
-    @Serializable
-    private class RevisionValue(val rules: String, val keys: List<KeyValue> = emptyList())
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/RealFleet.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/RealFleet.kt
@@ -19,6 +19,7 @@
 import dev.cardamomlane.daemon.FleetGate
 import dev.cardamomlane.daemon.settings.IpAddress
 import dev.cardamomlane.platform.PlatformTable
+import dev.cardamomlane.platform.WriteOutcome
 import dev.cardamomlane.wire.peer.FleetMessages
 import dev.cardamomlane.wire.peer.PeerMessage
 import io.micrometer.core.instrument.MeterRegistry
@@ -62,7 +63,7 @@
 
     /** What the data path asks. */
     val gate: FleetGate = object : FleetGate {
-        override fun configuration(): Configuration? = lock.withLock { machine.configuration(timers.nowMillis()) }
+        override fun configuration(): Configuration? = lock.withLock { machine.configuration }
 
         override fun inStanding(): Boolean = lock.withLock { machine.isInStanding(timers.nowMillis()) }
 
@@ -131,7 +132,7 @@
             val nowMillis = timers.nowMillis()
             val result = machine.on(event, nowMillis)
             result.filterIsInstance<FleetAction.InstallShares>().forEach { book.install(it.table, nowMillis) }
-            inForce.update(machine.configuration(nowMillis))
+            inForce.update(machine.configuration)
             result
         }
         actions.forEach(::perform)
@@ -181,11 +182,10 @@
     private fun writeControl(action: FleetAction.WriteControl) {
         val record = action.new.record
         Logger.info { "fleet: writing members ${record.version}, settled ${record.isSettled}, ${action.new.head}" }
-        val written: Mono<FleetEvent> = control.write(
-            action.expected,
-            action.new,
-        ).thenReturn(FleetEvent.ControlWriteEnded)
-        report(written, FleetEvent.ControlWriteEnded)
+        val ended = control.write(action.expected, action.new).map { outcome ->
+            FleetEvent.ControlWriteEnded(action.new.takeIf { outcome == WriteOutcome.Applied })
+        }
+        report(ended, FleetEvent.ControlWriteEnded(written = null))
     }
 
     private fun report(answer: Mono<out FleetEvent>, failure: FleetEvent) {
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/fleet/RealFleetTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/fleet/RealFleetTest.kt
@@ -6,11 +6,12 @@
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.TimerSubscription
-import dev.cardamomlane.core.fleet.RevisionHead
 import dev.cardamomlane.core.limits.Admission
-import dev.cardamomlane.platform.ConditionalWrite
+import dev.cardamomlane.platform.ConfigurationStore
+import dev.cardamomlane.platform.Draft
 import dev.cardamomlane.platform.MemoryPlatformTable
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import java.net.InetAddress
@@ -40,7 +41,7 @@
     fun `three hosts find each other and put a revision in force`() {
         val hosts = List(3) { start("host-$it") }
         await("three members") { hosts.all { it.status.members.size == 3 && it.gate.inStanding() } }
-        propose(revision = 1, "customer club rate=50/s burst=9 # test\n")
+        propose("customer club rate=50/s burst=9 # test\n")
         await("revision 1") { hosts.all { it.gate.configuration()?.revision == 1L } }
 
         assertEquals(Admission.Admitted, hosts[0].gate.admit(CustomerId("unlimited")))
@@ -106,18 +107,9 @@
         return fleet
     }
 
-    private fun propose(revision: Long, rules: String) {
-        val row = table.get("config/head").block()
-        val head = row?.let { FleetRows.decodeHead(it) } ?: RevisionHead.NONE
-        val writes = listOf(
-            ConditionalWrite("config/revision/$revision", 0, """{"rules":"${rules.trim()}\n","keys":[]}"""),
-            ConditionalWrite(
-                "config/head",
-                row?.version ?: 0,
-                FleetRows.encodeHead(RevisionHead(head.accepted, revision)),
-            ),
-        )
-        table.write(writes, token = "propose-$revision").block()
+    private fun propose(rules: String) {
+        val proposed = ConfigurationStore(table).propose(basedOn = 0, Draft(rules, persistentListOf(), "test")).block()
+        assertEquals(1L, proposed?.getOrNull())
     }
 
     private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
