--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/queue/RealSlotQueue.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/queue/RealSlotQueue.kt
@@ -26,7 +26,7 @@
     private val classes = QueueTicket.CLASSES.map { ClassQueue() }
     private val waiting = HashMap<Long, QueueTicket>()
     private val waitingByCustomer = HashMap<CustomerId, Int>()
-    private val byDeadline = TreeSet(compareBy<QueueTicket>({ it.deadlineMillis }, { it.id }))
+    private val byDeadline = TreeSet(DEADLINE_ORDER)
     private val running = HashMap<Long, RunningTicket>()
     private var meanServiceMillis = 0.0
     private var startsSinceAged = 0
@@ -127,7 +127,8 @@
 
     private fun expectedWaitMillis(ticket: QueueTicket): Long {
         val own = classOf(ticket)
-        val urgentCount = classes.take(ticket.priorityClass - 1).sumOf { it.waitingCount }
+        var urgentCount = 0
+        for (index in 0 until ticket.priorityClass - 1) urgentCount += classes[index].waitingCount
         val customerCount = own.waitingOf(ticket.customer)
         val weightSum = own.waitingWeight + if (customerCount == 0) ticket.weight else 0
         val fairlyAhead = ceil((customerCount + 1.0) * weightSum / ticket.weight).toInt() - 1
@@ -179,5 +180,11 @@
 
     private companion object {
         const val SERVICE_SMOOTHING = 0.1
+
+        val DEADLINE_ORDER =
+            Comparator<QueueTicket> { one, other ->
+                val byDeadline = one.deadlineMillis.compareTo(other.deadlineMillis)
+                if (byDeadline != 0) byDeadline else one.id.compareTo(other.id)
+            }
     }
 }
