Daemon: watch of a database group and control of its targets

The decisions of core.group and core.failover need polls, commands, a claim row and peers. GroupWatch polls each target over one kept control connection and opens another when that stays silent; late answers still count, so a slow target is not taken for a silent one.

The peers' answer says one of four things about the primary in place of a flag: a peer that is cut off itself must not count as one that suspects the primary. PeerView of the core replaces PeerGroupView.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/PeerRequests.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/PeerRequests.kt
@@ -2,11 +2,12 @@
 
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.failover.PeerView
 
 /** What this host answers and does for other hosts, besides the fleet's own messages. Must not block. */
 public interface PeerRequests {
     /** How this host sees [database], or null when it does not serve it. The host in the view is this one. */
-    public fun groupView(database: DatabaseId): PeerGroupView?
+    public fun groupView(database: DatabaseId): PeerView?
 
     /** Another host tells that [primary] leads [database] in [term]. */
     public fun onNewTerm(database: DatabaseId, term: Long, primary: TargetId)
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/RealFleet.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/RealFleet.kt
@@ -6,6 +6,7 @@
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.failover.PeerView
 import dev.cardamomlane.core.fleet.Configuration
 import dev.cardamomlane.core.fleet.FleetAction
 import dev.cardamomlane.core.fleet.FleetEvent
@@ -105,8 +106,11 @@
         lease.retire().then().onErrorComplete().doFinally { links.stop() }
     }
 
+    /** How many members [askGroupViews] asks. */
+    fun groupAskCount(): Int = minOf(others().size, MAX_GROUP_ASKS)
+
     /** Asks other members how they see [database]. */
-    fun askGroupViews(database: DatabaseId, timeoutMillis: Long): Flux<PeerGroupView> =
+    fun askGroupViews(database: DatabaseId, timeoutMillis: Long): Flux<PeerView> =
         Flux.defer { groupViews.ask(others().take(MAX_GROUP_ASKS), database, timeoutMillis) }
 
     /** Tells every other member of a new term. */
@@ -226,7 +230,7 @@
 
     private fun tellGroup(to: MemberId, ask: PeerMessage.GroupAsk) {
         val view = requests.groupView(DatabaseId(ask.database)) ?: return
-        val tell = PeerMessage.GroupTell(ask.askId, ask.database, view.term, view.primary?.value, view.reachesPrimary)
+        val tell = PeerMessage.GroupTell(ask.askId, ask.database, view.term, view.primary?.value, view.reach.name)
         links.send(to, tell)
     }
 
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/ControlConnection.kt
@@ -0,0 +1,76 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.wire.BackendMessage
+import dev.cardamomlane.wire.FrontendWriter
+import dev.cardamomlane.wire.MessageListener
+import dev.cardamomlane.wire.OpenSession
+import io.netty.buffer.ByteBuf
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+import reactor.core.publisher.Mono
+import reactor.core.publisher.MonoSink
+import java.io.IOException
+
+/** One row of text values. */
+internal typealias TextRow = ImmutableList<String>
+
+/**
+ * A connection for control functions. Queries may follow each other without waiting; answers come in their order.
+ *
+ * To be used on the connection's event loop only.
+ */
+internal class ControlConnection(private val session: OpenSession) : MessageListener {
+    private val pending = ArrayDeque<PendingQuery>()
+
+    val isOpen: Boolean get() = session.link.isOpen
+
+    init {
+        session.listen(this)
+    }
+
+    /** Runs [sql], which answers with one row. */
+    fun query(sql: String): Mono<TextRow> = Mono.create { sink ->
+        if (!isOpen) return@create sink.error(IOException("the control connection is closed"))
+        pending.addLast(PendingQuery(sink))
+        session.link.send(FrontendWriter.query(session.link.allocator.buffer(), sql))
+    }
+
+    fun close() = session.link.close()
+
+    override fun onFrame(frame: ByteBuf) {
+        try {
+            onMessage(BackendMessage.decode(frame))
+        } finally {
+            frame.release()
+        }
+    }
+
+    override fun onClosed(cause: Throwable?) {
+        val lost = pending.toList()
+        pending.clear()
+        lost.forEach { it.sink.error(IOException("the control connection closed", cause)) }
+    }
+
+    private fun onMessage(message: BackendMessage) {
+        val query = pending.firstOrNull() ?: return
+        when (message) {
+            is BackendMessage.DataRow -> query.row = message.values.map { it?.decodeToString().orEmpty() }
+            is BackendMessage.ErrorResponse -> query.error = message.error.message
+            is BackendMessage.ReadyForQuery -> {
+                pending.removeFirst()
+                query.finish()
+            }
+            else -> Unit
+        }
+    }
+
+    private class PendingQuery(val sink: MonoSink<TextRow>) {
+        var row: List<String>? = null
+        var error: String? = null
+
+        fun finish() {
+            val answer = row
+            if (answer == null) sink.error(IOException(error ?: "no row")) else sink.success(answer.toImmutableList())
+        }
+    }
+}
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/ControlRows.kt
@@ -0,0 +1,37 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.group.TargetRole
+import dev.cardamomlane.core.group.TargetStatus
+
+/** Reads the rows that control functions answer. */
+internal object ControlRows {
+    private const val STATUS_COLUMNS = 10
+
+    /** Reads the status columns of [row] from column [first] on. */
+    fun status(row: TextRow, first: Int = 0): TargetStatus {
+        require(row.size >= first + STATUS_COLUMNS) { "a status row has ${row.size} columns" }
+        return TargetStatus(
+            role = role(row[first]),
+            fenceTerm = row[first + 1].toLong(),
+            fenceClaimant = row[first + 2].ifEmpty { null },
+            received = LogPosition(row[first + 3].toLong(), row[first + 4].toLong()),
+            applied = LogPosition(row[first + 5].toLong(), row[first + 6].toLong()),
+            following = row[first + 7].ifEmpty { null }?.let(::TargetId),
+            leaving = flag(row[first + 8]),
+            incarnation = row[first + 9],
+        )
+    }
+
+    /** Reads the `granted` column, which comes first. */
+    fun granted(row: TextRow): Boolean = flag(row[0])
+
+    private fun flag(text: String): Boolean = text == "t"
+
+    private fun role(text: String): TargetRole = when (text) {
+        "primary" -> TargetRole.PRIMARY
+        "replica" -> TargetRole.REPLICA
+        else -> throw IllegalArgumentException("unknown role \"$text\"")
+    }
+}
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/GroupWatch.kt
@@ -0,0 +1,167 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.failover.FailoverAction
+import dev.cardamomlane.core.failover.FailoverEvent
+import dev.cardamomlane.core.failover.FailoverMachine
+import dev.cardamomlane.core.group.GroupMonitor
+import dev.cardamomlane.core.group.PollRound
+import org.tinylog.kotlin.Logger
+import reactor.core.publisher.Mono
+import reactor.core.scheduler.Scheduler
+import java.time.Duration
+
+/**
+ * Polls the targets of one group, and does what its [FailoverMachine] wants done.
+ *
+ * To be used on [scheduler], the event loop that [timers] calls on, only.
+ */
+internal class GroupWatch(
+    private val monitor: GroupMonitor,
+    private val machine: FailoverMachine,
+    private val controls: Map<TargetId, TargetControl>,
+    private val claims: TermClaims,
+    private val courier: PeerCourier,
+    private val timers: TimerService,
+    private val scheduler: Scheduler,
+    private val settings: WatchSettings = WatchSettings(),
+) {
+    private val unanswered = HashMap<TargetId, Long>()
+    private val subscriptions = ArrayList<TimerSubscription>()
+    private var polledAtMillis = Long.MIN_VALUE / 2
+    private var isPollDue = false
+    private var loggedTerm = 0L
+
+    fun start() {
+        subscriptions += timers.every(settings.pollMillis) { poll() }
+        subscriptions += timers.every(settings.tickMillis) { on(FailoverEvent.Tick) }
+        poll()
+    }
+
+    fun stop() {
+        subscriptions.forEach { it.cancel() }
+        controls.values.forEach { it.close() }
+    }
+
+    /** Feeds the failover machine. */
+    fun on(event: FailoverEvent) {
+        machine.on(event, timers.nowMillis()).forEach(::perform)
+        logTerm()
+    }
+
+    /** The floor for a session that came without a position. */
+    fun floor(): Mono<LogPosition> = Mono.create<LogPosition> { sink ->
+        monitor.askFloor { sink.success(it) }
+        pollSoon()
+    }.timeout(Duration.ofMillis(settings.floorTimeoutMillis), scheduler)
+
+    /** Polls at once, or a little after the last poll, so that requests made close together share a round. */
+    fun pollSoon() {
+        if (isPollDue) return
+        isPollDue = true
+        val waitMillis = (polledAtMillis + settings.pollSpacingMillis - timers.nowMillis()).coerceAtLeast(0)
+        timers.after(waitMillis) { poll() }
+    }
+
+    private fun poll() {
+        isPollDue = false
+        val nowMillis = timers.nowMillis()
+        polledAtMillis = nowMillis
+        val round = monitor.beginRound(nowMillis)
+        controls.keys.forEach { ask(it, round) }
+    }
+
+    private fun ask(target: TargetId, round: PollRound) {
+        val sentAtMillis = round.sentAtMillis
+        val sinceMillis = unanswered.getOrPut(target) { sentAtMillis }
+        val newConnection = sentAtMillis - sinceMillis >= settings.probeAfterMillis
+        val onFailed = {
+            monitor.onFailure(target, sentAtMillis, newConnection)
+            on(FailoverEvent.Tick)
+        }
+        // A late answer still counts: it tells a slow target from a silent one.
+        val timeout = timers.after(settings.pollTimeoutMillis, onFailed)
+        control(target).status(newConnection).within(settings.lateAnswerMillis).subscribe(
+            { status ->
+                timeout.cancel()
+                unanswered.remove(target)
+                monitor.onStatus(round, target, status, timers.nowMillis())
+                on(FailoverEvent.Tick)
+            },
+            {
+                val isFirst = timers.nowMillis() - sentAtMillis < settings.pollTimeoutMillis
+                timeout.cancel()
+                if (isFirst) onFailed()
+            },
+        )
+    }
+
+    private fun perform(action: FailoverAction) {
+        if (action !is FailoverAction.Follow) Logger.info("failover: {} does {}.", monitor.database, action)
+        when (action) {
+            is FailoverAction.AskPeers -> askPeers()
+            is FailoverAction.ClaimTerm -> claim(action)
+            is FailoverAction.Fence -> fence(action)
+            is FailoverAction.Promote -> promote(action)
+            is FailoverAction.Follow -> follow(action)
+            is FailoverAction.AnnounceTerm -> announce(action)
+        }
+    }
+
+    private fun askPeers() {
+        on(FailoverEvent.PeersAsked(courier.peerCount()))
+        courier.askViews(monitor.database, settings.peerTimeoutMillis).publishOn(scheduler)
+            .subscribe({ on(FailoverEvent.PeerAnswered(it)) }, { logFailure("a question to peers", it) })
+    }
+
+    private fun claim(action: FailoverAction.ClaimTerm) {
+        claims.claim(action.term, action.claimant).publishOn(scheduler).subscribe(
+            { on(FailoverEvent.ClaimAnswered(action.term, it)) },
+            { logFailure("a claim", it) },
+        )
+    }
+
+    private fun fence(action: FailoverAction.Fence) {
+        control(action.target).fence(action.term, action.claimant).within(settings.commandTimeoutMillis).subscribe(
+            { on(FailoverEvent.FenceAnswered(action.target, action.term, it.granted, it.status)) },
+            { logFailure("a fence of ${action.target}", it) },
+        )
+    }
+
+    private fun promote(action: FailoverAction.Promote) {
+        control(action.target).promote(action.term, action.claimant).within(settings.promoteTimeoutMillis).subscribe(
+            { on(FailoverEvent.PromoteAnswered(action.target, action.term, it)) },
+            { logFailure("a promotion of ${action.target}", it) },
+        )
+    }
+
+    private fun follow(action: FailoverAction.Follow) {
+        control(action.target).follow(action.term, action.primary).within(settings.commandTimeoutMillis)
+            .subscribe({ }, { logFailure("a redirection of ${action.target}", it) })
+    }
+
+    private fun announce(action: FailoverAction.AnnounceTerm) {
+        courier.tellTerm(monitor.database, action.term, action.primary)
+        claims.record(action.term, action.claimant, action.primary)
+            .subscribe({ }, { logFailure("a record of the primary", it) })
+        pollSoon()
+    }
+
+    private fun control(target: TargetId): TargetControl =
+        checkNotNull(controls[target]) { "database ${monitor.database} has no target $target" }
+
+    private fun <T : Any> Mono<T>.within(millis: Long): Mono<T> =
+        timeout(Duration.ofMillis(millis), scheduler).publishOn(scheduler)
+
+    private fun logFailure(what: String, cause: Throwable) =
+        Logger.info("failover: {} for {} failed. {}", what, monitor.database, cause.message)
+
+    private fun logTerm() {
+        if (monitor.term == loggedTerm) return
+        loggedTerm = monitor.term
+        Logger.info("failover: {} has primary {} in term {}.", monitor.database, monitor.primary, monitor.term)
+    }
+}
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/RealDatabaseGroup.kt
@@ -0,0 +1,73 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.failover.FailoverEvent
+import dev.cardamomlane.core.failover.FailoverMachine
+import dev.cardamomlane.core.failover.PeerView
+import dev.cardamomlane.core.group.GroupMonitor
+import dev.cardamomlane.core.group.RouteChoice
+import dev.cardamomlane.core.group.RouteRequest
+import dev.cardamomlane.daemon.DatabaseGroup
+import dev.cardamomlane.daemon.GroupView
+import dev.cardamomlane.daemon.TargetEvent
+import reactor.core.publisher.Mono
+
+/**
+ * A [DatabaseGroup] that is watched by polls and fails over by itself.
+ *
+ * All calls come on the event loop of its [watch].
+ */
+internal class RealDatabaseGroup(
+    private val monitor: GroupMonitor,
+    private val machine: FailoverMachine,
+    private val watch: GroupWatch,
+    private val timers: TimerService,
+) : DatabaseGroup {
+    private val acknowledgedAtMillis = HashMap<TargetId, Long>()
+
+    override val database: DatabaseId get() = monitor.database
+
+    fun start() = watch.start()
+
+    fun stop() = watch.stop()
+
+    override fun choose(request: RouteRequest): RouteChoice = monitor.table.choose(request, timers.nowMillis())
+
+    override fun floor(): Mono<LogPosition> = watch.floor()
+
+    override fun observe(event: TargetEvent) {
+        when (event) {
+            is TargetEvent.Failed, is TargetEvent.NotPrimary -> watch.pollSoon()
+            is TargetEvent.Acknowledged -> onAcknowledged(event)
+            is TargetEvent.Applied, is TargetEvent.Served -> Unit
+        }
+    }
+
+    override fun view(): GroupView = GroupView(database, monitor.term, monitor.primary)
+
+    /** What this host answers peers that ask for the group. */
+    fun peerView(): PeerView = machine.view(timers.nowMillis())
+
+    /** Takes in that a peer told of a new term. */
+    fun onNewTerm(term: Long, primary: TargetId) {
+        if (monitor.targets.none { it.id == primary }) return
+        watch.on(FailoverEvent.TermAnnounced(term, primary))
+        watch.pollSoon()
+    }
+
+    /** A few positions a second are enough to know when the primary reached which one. */
+    private fun onAcknowledged(event: TargetEvent.Acknowledged) {
+        val nowMillis = timers.nowMillis()
+        val lastMillis = acknowledgedAtMillis[event.target]
+        if (lastMillis != null && nowMillis - lastMillis < ACKNOWLEDGED_SPACING_MILLIS) return
+        acknowledgedAtMillis[event.target] = nowMillis
+        monitor.onAcknowledged(event.position, nowMillis)
+    }
+
+    private companion object {
+        const val ACKNOWLEDGED_SPACING_MILLIS = 5L
+    }
+}
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/SqlTargetControl.kt
@@ -0,0 +1,76 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.group.TargetStatus
+import dev.cardamomlane.wire.OpenRequest
+import dev.cardamomlane.wire.SessionOpener
+import reactor.core.publisher.Mono
+import reactor.core.scheduler.Scheduler
+
+/**
+ * A [TargetControl] by SQL functions over connections of its own.
+ *
+ * One connection is kept. A connection that was opened anew takes its place once it has answered.
+ *
+ * To be used on [scheduler], the event loop of the connections, only.
+ */
+internal class SqlTargetControl(
+    override val target: TargetId,
+    private val opener: SessionOpener,
+    private val request: OpenRequest,
+    private val scheduler: Scheduler,
+) : TargetControl {
+    private var kept: ControlConnection? = null
+    private var opening: Mono<ControlConnection>? = null
+
+    override fun status(newConnection: Boolean): Mono<TargetStatus> =
+        query("SELECT * FROM cardamomlane_status()", newConnection).map { ControlRows.status(it) }
+
+    override fun fence(term: Long, claimant: String): Mono<FenceAnswer> =
+        query("SELECT * FROM cardamomlane_fence($term, '${quoted(claimant)}')")
+            .map { FenceAnswer(ControlRows.granted(it), ControlRows.status(it, first = 1)) }
+
+    override fun promote(term: Long, claimant: String): Mono<Boolean> =
+        query("SELECT * FROM cardamomlane_promote($term, '${quoted(claimant)}')").map(ControlRows::granted)
+
+    override fun follow(term: Long, primary: TargetId): Mono<Boolean> =
+        query("SELECT * FROM cardamomlane_follow($term, '${quoted(primary.value)}')").map(ControlRows::granted)
+
+    override fun close() {
+        kept?.close()
+        kept = null
+    }
+
+    private fun query(sql: String, newConnection: Boolean = false): Mono<TextRow> = Mono.defer {
+        if (newConnection) queryAnew(sql) else connection().flatMap { it.query(sql) }
+    }
+
+    private fun queryAnew(sql: String): Mono<TextRow> = open().flatMap { connection ->
+        connection.query(sql)
+            .doOnNext { keep(connection) }
+            .doOnError { connection.close() }
+            .doOnCancel { connection.close() }
+    }
+
+    private fun connection(): Mono<ControlConnection> {
+        kept?.takeIf { it.isOpen }?.let { return Mono.just(it) }
+        return opening ?: openShared().also { opening = it }
+    }
+
+    /** Opens one connection for all who ask meanwhile. */
+    private fun openShared(): Mono<ControlConnection> = open()
+        .doOnNext { keep(it) }
+        .doFinally { opening = null }
+        .share()
+
+    private fun open(): Mono<ControlConnection> =
+        opener.open(request).publishOn(scheduler).map { ControlConnection(it) }
+
+    private fun keep(connection: ControlConnection) {
+        val old = kept
+        kept = connection
+        if (old !== connection) old?.close()
+    }
+
+    private fun quoted(text: String): String = text.replace("'", "''")
+}
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/TermClaims.kt
@@ -0,0 +1,54 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.failover.ClaimOutcome
+import dev.cardamomlane.platform.ConditionalWrite
+import dev.cardamomlane.platform.PlatformTable
+import dev.cardamomlane.platform.WriteOutcome
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import reactor.core.publisher.Mono
+import java.util.UUID
+
+/** The row of a group in the platform's table, which names the last claim of a term. */
+internal class TermClaims(private val table: PlatformTable, database: DatabaseId) {
+    private val key = "group/$database"
+
+    /** Claims [term] for [claimant]. Claiming again what was won is won again. */
+    fun claim(term: Long, claimant: String): Mono<ClaimOutcome> = put(TermRow(term, claimant, primary = null))
+        .onErrorReturn(ClaimOutcome.Unknown)
+
+    /** Notes that [primary] leads [term], unless the row names another claimant or a later term. */
+    fun record(term: Long, claimant: String, primary: TargetId): Mono<Void> =
+        put(TermRow(term, claimant, primary.value)).then()
+
+    private fun put(row: TermRow, tries: Int = MAX_TRIES): Mono<ClaimOutcome> = table.get(key)
+        .map { Stored(it.version, json.decodeFromString<TermRow>(it.value)) }
+        .defaultIfEmpty(Stored(ConditionalWrite.ABSENT, TermRow(term = 0, claimant = "", primary = null)))
+        .flatMap { stored -> replace(stored, row, tries) }
+
+    private fun replace(stored: Stored, row: TermRow, tries: Int): Mono<ClaimOutcome> {
+        val last = stored.row
+        val isTaken = last.term > row.term || (last.term == row.term && last.claimant != row.claimant)
+        if (isTaken || tries == 0) return Mono.just(ClaimOutcome.Lost(last.term))
+        if (last == row) return Mono.just(ClaimOutcome.Won)
+        val write = ConditionalWrite(key, stored.version, json.encodeToString(TermRow.serializer(), row))
+        return table.write(listOf(write), UUID.randomUUID().toString()).flatMap { outcome ->
+            when (outcome) {
+                is WriteOutcome.Applied -> Mono.just(ClaimOutcome.Won)
+                is WriteOutcome.Conflict -> put(row, tries - 1)
+            }
+        }
+    }
+
+    private class Stored(val version: Long, val row: TermRow)
+
+    @Serializable
+    private data class TermRow(val term: Long, val claimant: String = "", val primary: String? = null)
+
+    private companion object {
+        const val MAX_TRIES = 3
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/fleet/RealFleetTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/fleet/RealFleetTest.kt
@@ -6,6 +6,8 @@
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.failover.PeerView
+import dev.cardamomlane.core.failover.PrimaryReach
 import dev.cardamomlane.core.limits.Admission
 import dev.cardamomlane.platform.ConfigurationStore
 import dev.cardamomlane.platform.Draft
@@ -76,7 +78,7 @@
         await("two members") { hosts.all { it.status.members.size == 2 && it.gate.inStanding() } }
         val views = hosts[0].askGroupViews(DatabaseId("orders-1"), timeoutMillis = 5_000).collectList().block()!!
 
-        assertEquals(listOf(PeerGroupView(HostId("host-1"), 7, TargetId("a"), reachesPrimary = true)), views)
+        assertEquals(listOf(PeerView(HostId("host-1"), 7, TargetId("a"), PrimaryReach.REACHED)), views)
         assertTrue(hosts[0].forwardCancel(HostId("host-1"), processId = 12, secretKey = 34))
         assertFalse(hosts[0].forwardCancel(HostId("host-9"), processId = 12, secretKey = 34))
         await("the cancel request") { cancelled == listOf(12) }
@@ -124,7 +126,7 @@
 
     private inner class Requests : PeerRequests {
         override fun groupView(database: DatabaseId) =
-            PeerGroupView(HostId("self"), term = 7, primary = TargetId("a"), reachesPrimary = true)
+            PeerView(HostId("self"), term = 7, primary = TargetId("a"), PrimaryReach.REACHED)
 
         override fun onNewTerm(database: DatabaseId, term: Long, primary: TargetId) = Unit
 
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/peer/PeerMessage.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/peer/PeerMessage.kt
@@ -112,7 +112,7 @@
     /**
      * How the sender sees a database group.
      *
-     * @property reachesPrimary whether the sender reaches the primary at this moment
+     * @property reach how the sender sees the primary: a name of `PrimaryReach`
      */
     @Serializable
     @SerialName("g")
@@ -121,7 +121,7 @@
         @CborLabel(2) val database: String,
         @CborLabel(3) val term: Long,
         @CborLabel(4) val primary: String? = null,
-        @CborLabel(5) val reachesPrimary: Boolean,
+        @CborLabel(5) val reach: String,
     ) : PeerMessage
 
     /** Tells of a new term. */
