Daemon: each fault of a target has one outcome, told truly

Cause: the data path had no tests, and a read whose connection closed went back to the same target until its deadline (seen in the new table: 57P03 after 2 s). Change: a failed target is excluded until no other is left, sends of one unit are bounded; a table of faults over a scripted target and pgjdbc.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
@@ -142,7 +142,7 @@
         val mayRepeat = place.transaction == null && !hold.hasPassed && (isRetried || isStale || plan.isRepeatable)
         end {
             if (mayRepeat) {
-                listener.onNotRun(target, exclude = !place.onPrimary)
+                listener.onNotRun(target, exclude = true)
             } else {
                 listener.onFailed(Refusals.outcomeUnknown("the connection to the target was lost"))
             }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitRun.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitRun.kt
@@ -39,6 +39,7 @@
     private var entry: LaneEntry? = null
     private var use: RouteChoice.Use? = null
     private var attempt: UnitAttempt? = null
+    private var sentCount = 0
     private var ended = false
 
     fun start() {
@@ -119,11 +120,17 @@
         )
         when (val choice = session.group.choose(request)) {
             is RouteChoice.Use -> queue(choice)
-            is RouteChoice.Wait -> routeLater("no target is fresh enough", choice.millis) { route() }
-            is RouteChoice.Unavailable -> routeLater(choice.reason) { route() }
+            is RouteChoice.Wait -> rerouteLater("no target is fresh enough", choice.millis)
+            is RouteChoice.Unavailable -> rerouteLater(choice.reason, ROUTE_RETRY_MILLIS)
         }
     }
 
+    /** Asks for a route again, then also among targets that failed before, which may have recovered. */
+    private fun rerouteLater(reason: String, millis: Long) {
+        excluded.clear()
+        routeLater(reason, millis) { route() }
+    }
+
     private fun routeLater(reason: String, millis: Long = ROUTE_RETRY_MILLIS, again: () -> Unit) {
         if (ended) return
         if (timers.nowMillis() >= deadlineMillis) return refuse(Refusals.noTarget(reason))
@@ -178,6 +185,7 @@
     private fun begin(place: AttemptPlace) {
         entry = null
         trace.enter("target", place.lane.target)
+        sentCount++
         attempt = UnitAttempt(session, unit, plan, place, this).also { it.send() }
     }
 
@@ -191,7 +199,8 @@
         attempt = null
         services.meters.onRetry()
         if (exclude) excluded += target
-        routeLater("no target took the statement") { route() }
+        if (sentCount >= MAX_SENDS) return refuse(Refusals.noTarget("$sentCount targets did not run the statement"))
+        routeLater("no target took the statement", millis = 1) { route() }
     }
 
     override fun onFailed(error: ServerError) {
@@ -216,6 +225,9 @@
 
     private companion object {
         const val ROUTE_RETRY_MILLIS = 20L
+
+        /** Bounds how often one unit reaches targets, whatever its deadline. */
+        const val MAX_SENDS = 20
         const val MAX_BORROW_MILLIS = 250L
     }
 }
--- /dev/null
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/DataPathFixture.kt
@@ -0,0 +1,85 @@
+package dev.cardamomlane.daemon.caller
+
+import dev.cardamomlane.core.AvailabilityZone
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.queue.FixedLimit
+import dev.cardamomlane.core.queue.RealSlotQueue
+import dev.cardamomlane.daemon.MapGroupDirectory
+import dev.cardamomlane.daemon.RealTimerService
+import dev.cardamomlane.daemon.settings.CallerSettings
+import dev.cardamomlane.daemon.settings.TargetSettings
+import dev.cardamomlane.daemon.target.RealTargetProbe
+import dev.cardamomlane.daemon.target.TargetLane
+import dev.cardamomlane.wire.OpenRequest
+import dev.cardamomlane.wire.RealSessionOpener
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.netty.channel.EventLoop
+import io.opentelemetry.api.OpenTelemetry
+import reactor.netty.DisposableServer
+import reactor.netty.resources.LoopResources
+import java.net.InetSocketAddress
+import java.sql.Connection
+import java.sql.DriverManager
+
+/** The data path of a daemon in front of two targets, with a fake fleet and a fake group. */
+internal class DataPathFixture(one: FakeTarget, two: FakeTarget, startDeadlineMillis: Int = 2_000) : AutoCloseable {
+    val gate = FakeGate()
+    val group = FakeGroup()
+    private val loops = LoopResources.create("test", 1, 1, true)
+    private val timers = RealTimerService(loops.onServer(true).next() as EventLoop)
+    private val opener = RealSessionOpener(loops)
+    private val requests = mapOf(FakeGroup.ONE to one, FakeGroup.TWO to two)
+        .mapValues { (_, target) -> OpenRequest(target.address, "cardamomlane", "secret", "orders-1") }
+    private val lanes = requests.mapValues { (name, request) -> lane(name, request) }
+    private val settings = CallerSettings(
+        allowPlaintextKeys = true,
+        tlsCertificateFile = null,
+        tlsKeyFile = null,
+        maxConnections = 100,
+        maxMessageBytes = 1 shl 20,
+        startDeadlineMillis = startDeadlineMillis,
+        confirmTimeoutMillis = 1_000,
+        stallTimeoutMillis = 30_000,
+        drainMillis = 1_000,
+    )
+    private val services = CallerServices(
+        host = HostId("host-1"),
+        settings = settings,
+        timers = timers,
+        gate = gate,
+        groups = MapGroupDirectory(listOf(group)),
+        lanes = lanes,
+        probe = RealTargetProbe(opener, requests),
+        meters = CallerMeters(SimpleMeterRegistry()),
+        tracer = OpenTelemetry.noop().getTracer("test"),
+    )
+    private val desk = CallerDesk(
+        host = HostId("host-1"),
+        serverParameters = ServerParameters(opener, mapOf(group.database to requests.values.toList())),
+        passCancel = { _, _ -> },
+    )
+    private val server: DisposableServer = checkNotNull(
+        CallerServer(InetSocketAddress("127.0.0.1", 0), loops, tls = null, services, desk).bind().block(),
+    )
+
+    fun connect(user: String = "press", key: String = "key-1", database: String = "orders-1"): Connection {
+        val port = (server.address() as InetSocketAddress).port
+        val options = "sslmode=disable&preferQueryMode=simple&assumeMinServerVersion=15"
+        return DriverManager.getConnection("jdbc:postgresql://127.0.0.1:$port/$database?$options", user, key)
+    }
+
+    override fun close() {
+        server.disposeNow()
+        loops.dispose()
+    }
+
+    private fun lane(name: TargetId, request: OpenRequest) = TargetLane(
+        settings = TargetSettings(name, AvailabilityZone("kranj"), request.address, slots = 5, connections = 35),
+        request = request,
+        opener = opener,
+        timers = timers,
+        queue = RealSlotQueue(FixedLimit(5)),
+        maxConnections = { 4 },
+    )
+}
