--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/admin/AdminError.kt
@@ -0,0 +1,7 @@
+package dev.cardamomlane.standin.admin
+
+import kotlinx.serialization.Serializable
+
+/** The body of a refused admin call. */
+@Serializable
+internal data class AdminError(val error: String)
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/admin/AdminServer.kt
@@ -0,0 +1,136 @@
+package dev.cardamomlane.standin.admin
+
+import dev.cardamomlane.standin.platform.PlatformServer
+import dev.cardamomlane.standin.session.TargetServer
+import dev.cardamomlane.standin.settings.HostSettings
+import dev.cardamomlane.standin.settings.SocketAddress
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import org.tinylog.kotlin.Logger
+import reactor.core.publisher.Mono
+import reactor.core.scheduler.Scheduler
+import reactor.netty.DisposableServer
+import reactor.netty.http.server.HttpServer
+import reactor.netty.http.server.HttpServerRequest
+import reactor.netty.http.server.HttpServerResponse
+
+/** Shows the state of the stand-ins and switches their faults. The calls are listed in docs/operators/standin.md. */
+internal class AdminServer(
+    private val configured: SocketAddress,
+    private val targets: List<TargetServer>,
+    private val platform: PlatformServer,
+    private val scheduler: Scheduler,
+) : AutoCloseable {
+    private lateinit var server: DisposableServer
+
+    val address: SocketAddress get() = configured.copy(port = server.port())
+
+    fun start() {
+        server = HttpServer.create().host(configured.host).port(configured.port)
+            .route { routes ->
+                routes.get("/state") { _, response -> run(response, StandinView.serializer(), ::state) }
+                routes.post("/targets/{name}/{action}", ::switchTarget)
+                routes.post("/platform/{action}", ::switchPlatform)
+                routes.post("/hosts/{name}/{action}", ::switchHost)
+            }
+            .bindNow()
+    }
+
+    override fun close() {
+        server.disposeNow()
+    }
+
+    private fun state(): StandinView =
+        StandinView(targets.map(TargetView::of), PlatformView.of(platform), platform.hosts.list())
+
+    private fun switchTarget(request: HttpServerRequest, response: HttpServerResponse): Mono<Void> =
+        run(response, TargetView.serializer()) {
+            val call = AdminCall(request.uri())
+            val (_, name, action) = call.parts
+            val server = requireNotNull(targets.find { it.target.name == name }) { "no target is called \"$name\"" }
+            apply(server, action, call)
+            Logger.info("admin: {}", request.uri())
+            TargetView.of(server)
+        }
+
+    private fun apply(server: TargetServer, action: String, call: AdminCall) {
+        val target = server.target
+        val faults = target.faults
+        when (action) {
+            "cut" -> {
+                if (call.flag("callers", default = true)) faults.cutCallers()
+                if (call.flag("peers", default = true)) faults.cutFromPeers = true
+            }
+            "heal" -> heal(server)
+            "lag" -> faults.lagMillis = call.number("millis")
+            "silence" -> target.sessions.toList().forEach { it.silence() }
+            "lose-answers" -> faults.loseAnswers(call.number("count").toInt())
+            "slow" -> faults.slowMillis = call.number("millis")
+            "crash" -> server.crash()
+            "restart" -> server.restart()
+            "leaving" -> target.setLeaving(call.flag("value", default = true))
+            else -> throw IllegalArgumentException("unknown action \"$action\"")
+        }
+        target.group.wakeReplicas()
+    }
+
+    private fun heal(server: TargetServer) {
+        val faults = server.target.faults
+        faults.healCallers()
+        faults.cutFromPeers = false
+        faults.slowMillis = 0
+        faults.loseAnswers(0)
+        faults.lagMillis = server.target.group.settings.lagMillis
+        if (faults.crashed) server.restart()
+    }
+
+    private fun switchPlatform(request: HttpServerRequest, response: HttpServerResponse): Mono<Void> =
+        run(response, PlatformView.serializer()) {
+            val call = AdminCall(request.uri())
+            val faults = platform.faults
+            when (val action = call.parts.last()) {
+                "outage" -> faults.startOutage(call.optionalNumber("millis"))
+                "slow" -> faults.slowMillis = call.number("millis")
+                "lose-answers" -> faults.loseAnswers(call.number("count").toInt())
+                "heal" -> faults.heal()
+                else -> throw IllegalArgumentException("unknown action \"$action\"")
+            }
+            Logger.info("admin: {}", request.uri())
+            PlatformView.of(platform)
+        }
+
+    private fun switchHost(request: HttpServerRequest, response: HttpServerResponse): Mono<Void> =
+        run(response, StandinView.serializer()) {
+            val call = AdminCall(request.uri())
+            val (_, name, action) = call.parts
+            val found = when (action) {
+                "leaving" -> platform.hosts.setState(name, "LEAVING")
+                "live" -> platform.hosts.setState(name, "LIVE")
+                "gone" -> platform.hosts.remove(name)
+                "add" -> addHost(name, call)
+                else -> throw IllegalArgumentException("unknown action \"$action\"")
+            }
+            require(found) { "no host is called \"$name\"" }
+            Logger.info("admin: {}", request.uri())
+            state()
+        }
+
+    private fun addHost(name: String, call: AdminCall): Boolean {
+        val zone = call.text("availabilityZone")
+        platform.hosts.add(HostSettings(name, zone, call.text("peerAddress"), call.text("adminAddress")))
+        return true
+    }
+
+    private fun <T> run(response: HttpServerResponse, serializer: KSerializer<T>, action: () -> T): Mono<Void> =
+        Mono.fromCallable { Json.encodeToString(serializer, action()) }
+            .subscribeOn(scheduler)
+            .onErrorResume(IllegalArgumentException::class.java) { error ->
+                response.status(BAD_REQUEST)
+                Mono.just(Json.encodeToString(AdminError.serializer(), AdminError(error.message.orEmpty())))
+            }
+            .flatMap { body -> response.header("Content-Type", "application/json").sendString(Mono.just(body)).then() }
+
+    private companion object {
+        const val BAD_REQUEST = 400
+    }
+}
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/platform/HostListService.kt
@@ -0,0 +1,50 @@
+package dev.cardamomlane.standin.platform
+
+import dev.cardamomlane.standin.settings.HostSettings
+import java.util.concurrent.TimeUnit
+
+/** The platform's list of hosts, which shows changes after [lagMillis]. Safe for use by several threads. */
+internal class HostListService(hosts: List<HostSettings>, private val lagMillis: Long) {
+    private val known = LinkedHashMap(hosts.associateBy(HostSettings::host))
+    private val shown = LinkedHashMap(known)
+    private val changes = ArrayDeque<Change>()
+
+    /** The list as it is shown now. */
+    @Synchronized
+    fun list(): List<HostSettings> {
+        val nowNanos = System.nanoTime()
+        while (changes.isNotEmpty() && changes.first().dueNanos - nowNanos <= 0) changes.removeFirst().applyTo(shown)
+        return shown.values.toList()
+    }
+
+    /** Sets the state of [host]. Returns false if there is no such host. */
+    @Synchronized
+    fun setState(host: String, state: String): Boolean {
+        val settings = known[host] ?: return false
+        add(settings.copy(state = state))
+        return true
+    }
+
+    /** Adds or replaces a host. */
+    @Synchronized
+    fun add(host: HostSettings) {
+        known[host.host] = host
+        changes += Change(dueNanos(), host.host, host)
+    }
+
+    /** Takes [host] off the list. Returns false if there is no such host. */
+    @Synchronized
+    fun remove(host: String): Boolean {
+        if (known.remove(host) == null) return false
+        changes += Change(dueNanos(), host, entry = null)
+        return true
+    }
+
+    private fun dueNanos() = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(lagMillis)
+
+    private class Change(val dueNanos: Long, val host: String, val entry: HostSettings?) {
+        fun applyTo(list: MutableMap<String, HostSettings>) {
+            if (entry == null) list.remove(host) else list[host] = entry
+        }
+    }
+}
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/platform/TablePage.kt
@@ -0,0 +1,34 @@
+package dev.cardamomlane.standin.platform
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+
+/** The items of one Query answer, which ends at [limit] items or at the service's size limit. */
+internal class TablePage(private val limit: Int) {
+    private val items = ArrayList<JsonObject>()
+    private var bytes = 0
+    private var full = false
+
+    /** Adds [item]. Returns false if it is left for the next page. */
+    fun add(item: JsonObject): Boolean {
+        val itemBytes = item.toString().length
+        full = items.size >= limit || (bytes > 0 && bytes + itemBytes > MAX_PAGE_BYTES)
+        if (full) return false
+        items += item
+        bytes += itemBytes
+        return true
+    }
+
+    fun toJson(): JsonObject = buildJsonObject {
+        put("Items", JsonArray(items))
+        put("Count", items.size)
+        put("ScannedCount", items.size)
+        if (full) put("LastEvaluatedKey", ItemKey.of(items.last()).toJson())
+    }
+
+    private companion object {
+        const val MAX_PAGE_BYTES = 1 shl 20
+    }
+}
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/target/DatabaseGroup.kt
@@ -0,0 +1,43 @@
+package dev.cardamomlane.standin.target
+
+import dev.cardamomlane.standin.settings.DatabaseSettings
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/**
+ * The targets of one database. The first one starts as primary of term 1 and runs the initial statements.
+ *
+ * One lock guards the [TargetState] of all its targets. It is held for short steps only.
+ */
+internal class DatabaseGroup(val settings: DatabaseSettings) : AutoCloseable {
+    val lock: ReentrantLock = ReentrantLock()
+    val targets: List<Target> = settings.targets.map { Target(it, this) }
+    val majority: Int = targets.size / 2 + 1
+
+    fun find(name: String): Target? = targets.find { it.name == name }
+
+    /** Brings up the first primary, its replicas and the initial data. */
+    fun start() {
+        targets.forEach(Target::start)
+        val primary = targets.first()
+        primary.fence(FIRST_TERM, BOOTSTRAP)
+        checkNotNull(primary.promote(FIRST_TERM, BOOTSTRAP)) { "target ${primary.name} can't start as primary" }
+        targets.drop(1).forEach { it.follow(FIRST_TERM, primary.name) }
+        primary.initialize(settings.initSql)
+    }
+
+    fun wakeReplicas() {
+        targets.forEach(Target::wake)
+    }
+
+    inline fun <T> locked(action: () -> T): T = lock.withLock(action)
+
+    override fun close() {
+        targets.forEach(Target::close)
+    }
+
+    private companion object {
+        const val FIRST_TERM = 1L
+        const val BOOTSTRAP = "bootstrap"
+    }
+}
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/target/ReplicationLoop.kt
@@ -0,0 +1,181 @@
+package dev.cardamomlane.standin.target
+
+import dev.cardamomlane.standin.sql.SqlEngine
+import org.tinylog.kotlin.Logger
+import java.sql.SQLException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.thread
+import kotlin.concurrent.withLock
+
+/**
+ * Receives the primary's log for one target and applies it after the target's lag, on a thread of its own.
+ *
+ * A replica whose log differs from the primary's drops its own tail; when the tail was applied already, its data are
+ * built anew from the common prefix and its connections are closed.
+ */
+internal class ReplicationLoop(private val target: Target) : AutoCloseable {
+    private val state = target.state
+    private val marks = ArrayDeque<ReceiptMark>()
+    private val wakeLock = ReentrantLock()
+    private val woken = wakeLock.newCondition()
+    private var hasWork = false
+    private var failures = 0
+
+    @Volatile
+    private var closed = false
+
+    @Volatile
+    private var mustRebuild = false
+
+    /** Whether the engine checks constraints and gives identities as a primary's does. */
+    @Volatile
+    var engineTakesWrites: Boolean = false
+        private set
+
+    val rebuilding: Boolean get() = mustRebuild
+
+    fun start() {
+        thread(name = "replication-${target.name}", isDaemon = true) { run() }
+    }
+
+    fun wake() = wakeLock.withLock {
+        hasWork = true
+        woken.signalAll()
+    }
+
+    /** Builds the data anew from the log. */
+    fun rebuild() {
+        mustRebuild = true
+        wake()
+    }
+
+    /** Waits until the target may commit, or until [timeoutMillis] have passed. */
+    fun awaitWritable(timeoutMillis: Long) {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis)
+        while (!target.writable && System.nanoTime() < endNanos) Thread.sleep(1)
+    }
+
+    override fun close() {
+        closed = true
+        wake()
+    }
+
+    private fun run() {
+        while (!closed) {
+            try {
+                step()
+            } catch (error: SQLException) {
+                recover(error)
+            }
+        }
+    }
+
+    private fun step() {
+        if (target.faults.crashed) return sleep(IDLE_MILLIS)
+        receive()
+        if (mustRebuild) rebuildEngine()
+        switchEngine()
+        val waitMillis = applyDue()
+        if (waitMillis > 0) sleep(waitMillis)
+    }
+
+    private fun recover(error: SQLException) {
+        failures++
+        Logger.warn("replication: {} can't apply a record: {}", target.name, error.message)
+        if (failures >= MAX_FAILURES) mustRebuild = true
+        sleep(RETRY_MILLIS)
+    }
+
+    private fun receive() {
+        var acknowledge: () -> Unit = {}
+        target.group.locked {
+            val primary = reachablePrimary() ?: return
+            dropDivergentTail(primary)
+            val records = primary.state.recordsAfter(state.received.offset, BATCH_RECORDS)
+            if (!state.receive(primary.state.fenceTerm, primary.name, state.received, records)) return
+            if (records.isNotEmpty()) marks += ReceiptMark(state.received.offset, nowMillis())
+            acknowledge = primary.acknowledge(target)
+        }
+        acknowledge()
+    }
+
+    private fun reachablePrimary(): Target? {
+        if (state.role == TargetRole.PRIMARY) return null
+        val primary = target.group.find(state.following) ?: return null
+        val cut = target.faults.cutFromPeers || primary.faults.cutFromPeers || primary.faults.crashed
+        val leads = primary.state.role == TargetRole.PRIMARY && primary.state.fenceTerm >= state.fenceTerm
+        return primary.takeIf { leads && !cut }
+    }
+
+    private fun dropDivergentTail(primary: Target) {
+        val common = state.commonPrefix(primary.state)
+        if (common == state.received.offset) return
+        Logger.info("replication: {} drops its log after {}", target.name, common)
+        if (common < state.appliedOffset) mustRebuild = true
+        state.truncate(common)
+        marks.removeAll { it.offset > common }
+    }
+
+    private fun rebuildEngine() {
+        target.dropSessions { true }
+        val old = target.engine
+        target.group.locked { state.markApplied(0) }
+        target.engine = SqlEngine(target.name)
+        engineTakesWrites = false
+        old.close()
+        while (applyNext()) Unit
+        failures = 0
+        mustRebuild = false
+    }
+
+    private fun switchEngine() {
+        val primary = target.group.locked { state.role == TargetRole.PRIMARY && state.caughtUp }
+        if (primary == engineTakesWrites) return
+        if (primary) target.engine.prepareForWrites() else target.engine.prepareForReplication()
+        engineTakesWrites = primary
+    }
+
+    /** Applies what is due and returns how long the next record must wait. */
+    private fun applyDue(): Long {
+        while (!closed) {
+            val leftMillis = millisUntilDue() ?: return IDLE_MILLIS
+            if (leftMillis > 0) return leftMillis
+            if (!applyNext()) return 0
+        }
+        return 0
+    }
+
+    private fun millisUntilDue(): Long? = target.group.locked {
+        while (marks.firstOrNull()?.let { it.offset <= state.appliedOffset } == true) marks.removeFirst()
+        when {
+            state.caughtUp -> null
+            state.role == TargetRole.PRIMARY -> 0
+            marks.isEmpty() -> 0
+            else -> marks.first().atMillis + target.faults.lagMillis - nowMillis()
+        }
+    }
+
+    private fun applyNext(): Boolean {
+        val record = target.group.locked { state.recordsAfter(state.appliedOffset, 1).firstOrNull() } ?: return false
+        target.engine.apply(record)
+        target.group.locked { state.markApplied(record.position.offset) }
+        return true
+    }
+
+    private fun sleep(millis: Long) = wakeLock.withLock {
+        if (!hasWork && !closed) woken.await(millis, TimeUnit.MILLISECONDS)
+        hasWork = false
+    }
+
+    private fun nowMillis(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
+
+    private class ReceiptMark(val offset: Long, val atMillis: Long)
+
+    private companion object {
+        const val BATCH_RECORDS = 1_000
+        const val IDLE_MILLIS = 100L
+        const val RETRY_MILLIS = 20L
+        const val MAX_FAILURES = 20
+    }
+}
