--- /dev/null
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/GroupWatchTest.kt
@@ -0,0 +1,150 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.AvailabilityZone
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.failover.PeerView
+import dev.cardamomlane.core.group.RouteChoice
+import dev.cardamomlane.core.group.RouteRequest
+import dev.cardamomlane.core.group.TargetRole
+import dev.cardamomlane.core.group.TargetStatus
+import dev.cardamomlane.daemon.settings.DatabaseSettings
+import dev.cardamomlane.daemon.settings.TargetSettings
+import dev.cardamomlane.platform.MemoryPlatformTable
+import dev.cardamomlane.platform.PlatformTable
+import kotlinx.collections.immutable.toImmutableList
+import reactor.core.publisher.Flux
+import reactor.core.publisher.Mono
+import reactor.test.scheduler.VirtualTimeScheduler
+import java.net.InetSocketAddress
+import java.time.Duration
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class GroupWatchTest {
+    private val time = VirtualTimeScheduler.create()
+    private val names = listOf("a", "b", "c").map(::TargetId)
+    private val targets = names.associateWith { MemoryTargetControl(it, primary = names.first()) }
+    private val a = targets.getValue(names.first())
+    private val groups = ArrayList<RealDatabaseGroup>()
+
+    private inner class Peers(private val host: Int) : PeerCourier {
+        private val others get() = groups.filterIndexed { index, _ -> index != host }
+
+        override fun peerCount(): Int = others.size
+
+        override fun askViews(database: DatabaseId, timeoutMillis: Long): Flux<PeerView> =
+            Flux.defer { Flux.fromIterable(others.map { it.peerView() }) }
+
+        override fun tellTerm(database: DatabaseId, term: Long, primary: TargetId) =
+            others.forEach { it.onNewTerm(term, primary) }
+    }
+
+    private fun start(
+        table: PlatformTable = MemoryPlatformTable(),
+        control: (TargetId) -> TargetControl = targets::getValue,
+    ) {
+        val zone = AvailabilityZone("kranj")
+        val address = InetSocketAddress("127.0.0.1", 1)
+        val settings = names.map { TargetSettings(it, zone, address, slots = 5, connections = 35) }.toImmutableList()
+        repeat(2) { host ->
+            val factory = GroupFactory(
+                HostId("host-$host"),
+                zone,
+                table,
+                Peers(host),
+                VirtualTimers(time),
+                time,
+            ) { _, target -> control(target.name) }
+            groups += factory.create(DatabaseSettings(DatabaseId("orders-1"), settings)).also { it.start() }
+        }
+        advance(500)
+    }
+
+    private fun advance(millis: Long) {
+        repeat((millis / 10).toInt()) { time.advanceTimeBy(Duration.ofMillis(10)) }
+    }
+
+    private fun write(group: RealDatabaseGroup): RouteChoice =
+        group.choose(RouteRequest(write = true, LogPosition.START, null, emptySet()) { 0 })
+
+    private fun assertFailover() {
+        a.isCut = true
+        advance(2_000)
+        for (group in groups) {
+            val use = assertIs<RouteChoice.Use>(write(group))
+            assertEquals(2, use.term)
+            assertTrue(use.target != a.target)
+        }
+    }
+
+    @Test
+    fun `writes move to a new primary, and the old one follows it once it is back`() {
+        start()
+        assertEquals(a.target, assertIs<RouteChoice.Use>(write(groups.first())).target)
+        assertFailover()
+
+        a.isCut = false
+        advance(1_000)
+        assertEquals(TargetRole.REPLICA, a.status.role)
+        assertEquals(groups.first().view().primary, a.status.following)
+    }
+
+    @Test
+    fun `a platform that does not answer delays a failover and does not stop it`() {
+        val table = MemoryPlatformTable()
+        val silent = object : PlatformTable by table {
+            override fun get(key: String) = Mono.never<dev.cardamomlane.platform.Row>()
+        }
+        start(silent)
+        assertFailover()
+    }
+
+    @Test
+    fun `a silent connection to a primary that answers on new ones causes no failover`() {
+        var silent = false
+        start { name ->
+            val control = targets.getValue(name)
+            object : TargetControl by control {
+                override fun status(newConnection: Boolean): Mono<TargetStatus> =
+                    if (silent && !newConnection) Mono.never() else control.status(newConnection)
+            }
+        }
+        silent = true
+        advance(5_000)
+        assertEquals(listOf(1L, 1L), groups.map { it.view().term })
+    }
+
+    @Test
+    fun `a primary that answers late is not replaced`() {
+        start { name ->
+            val control = targets.getValue(name)
+            object : TargetControl by control {
+                override fun status(newConnection: Boolean): Mono<TargetStatus> = control.status(newConnection)
+                    .delayElement(Duration.ofMillis(if (name == a.target) 350 else 1), time)
+            }
+        }
+        advance(5_000)
+        assertEquals(listOf(1L, 1L), groups.map { it.view().term })
+    }
+
+    @Test
+    fun `a floor needs a majority`() {
+        start()
+        a.isCut = true
+        val floors = ArrayList<LogPosition>()
+        groups.first().floor().subscribe(floors::add)
+        advance(20)
+        assertEquals(listOf(LogPosition(1, 1)), floors)
+
+        targets.values.forEach { it.isCut = true }
+        val failures = ArrayList<Throwable>()
+        groups.first().floor().subscribe(floors::add, failures::add)
+        advance(1_500)
+        assertEquals(1 to 1, floors.size to failures.size)
+    }
+}
--- /dev/null
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/OnLoop.kt
@@ -0,0 +1,19 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.TargetId
+import reactor.core.scheduler.Scheduler
+
+/** Subscribes to [control] on its event loop, so that a test may wait on its own thread. */
+internal class OnLoop(private val control: TargetControl, private val scheduler: Scheduler) : TargetControl {
+    override val target: TargetId get() = control.target
+
+    override fun status(newConnection: Boolean) = control.status(newConnection).subscribeOn(scheduler)
+
+    override fun fence(term: Long, claimant: String) = control.fence(term, claimant).subscribeOn(scheduler)
+
+    override fun promote(term: Long, claimant: String) = control.promote(term, claimant).subscribeOn(scheduler)
+
+    override fun follow(term: Long, primary: TargetId) = control.follow(term, primary).subscribeOn(scheduler)
+
+    override fun close() = control.close()
+}
--- /dev/null
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/TermClaimsTest.kt
@@ -0,0 +1,34 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.failover.ClaimOutcome
+import dev.cardamomlane.platform.MemoryPlatformTable
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class TermClaimsTest {
+    private val claims = TermClaims(MemoryPlatformTable(), DatabaseId("orders-1"))
+
+    @Test
+    fun `a term belongs to its first claimant, and later terms supersede it`() {
+        val cases = listOf(
+            Triple(2L, "one", ClaimOutcome.Won),
+            Triple(2L, "one", ClaimOutcome.Won),
+            Triple(2L, "two", ClaimOutcome.Lost(2)),
+            Triple(3L, "two", ClaimOutcome.Won),
+            Triple(2L, "one", ClaimOutcome.Lost(3)),
+        )
+        for ((term, claimant, outcome) in cases) {
+            assertEquals(outcome, claims.claim(term, claimant).block(), "term $term for $claimant")
+        }
+    }
+
+    @Test
+    fun `the record of a primary does not bring an older term back`() {
+        claims.claim(term = 2, claimant = "one").block()
+        claims.claim(term = 3, claimant = "two").block()
+        claims.record(term = 2, claimant = "one", TargetId("b")).block()
+        assertEquals(ClaimOutcome.Lost(3), claims.claim(term = 3, claimant = "one").block())
+    }
+}
