--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/ConfigurationStore.kt
+++ b/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/ConfigurationStore.kt
@@ -90,14 +90,12 @@
         repeated { revisionRow(number) }
             .map { ConfigurationRows.tokenOf(it) == token }
             .defaultIfEmpty(false)
-            .flatMap { own -> if (own) Mono.just(number.right()) else head().map { raced(it, number).left() } }
+            .flatMap { own -> if (own) Mono.just(number.right()) else head().flatMap { raced(it, number) } }
 
-    private fun raced(head: ConfigurationHead, number: Long): ProposalRefusal = if (head.accepted >=
-        number
-    ) {
-        ProposalRefusal.OtherAccepted(head)
-    } else {
-        ProposalRefusal.InProposal(head.proposed ?: number)
+    private fun raced(head: ConfigurationHead, number: Long): Mono<Either<ProposalRefusal, Long>> = when {
+        head.accepted >= number -> Mono.just(ProposalRefusal.OtherAccepted(head).left())
+        head.proposed != null -> Mono.just(ProposalRefusal.InProposal(head.proposed).left())
+        else -> Mono.error(PlatformUnavailableException("another write was touching $HEAD_KEY"))
     }
 
     private fun refusalOf(head: ConfigurationHead, basedOn: Long, superseding: Long?): ProposalRefusal? = when {
--- /dev/null
+++ b/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/DynamoItems.kt
@@ -0,0 +1,71 @@
+package dev.cardamomlane.platform
+
+import software.amazon.awssdk.services.dynamodb.model.AttributeValue
+import software.amazon.awssdk.services.dynamodb.model.TransactWriteItem
+
+/** Rows as DynamoDB items: `pk` and `sk` are the key before and after its first slash. */
+internal object DynamoItems {
+    private const val PARTITION_KEY = "pk"
+    private const val SORT_KEY = "sk"
+    private const val VERSION = "version"
+    private const val VALUE = "value"
+    private const val ABSENT_CONDITION = "attribute_not_exists($PARTITION_KEY)"
+    private const val VERSION_CONDITION = "#version = :expected"
+    private val versionName = mapOf("#version" to VERSION)
+
+    fun key(key: String): Map<String, AttributeValue> =
+        mapOf(PARTITION_KEY to text(RowKeys.partition(key)), SORT_KEY to text(RowKeys.sortKey(key)))
+
+    fun row(item: Map<String, AttributeValue>): Row {
+        val key = "${item.getValue(PARTITION_KEY).s()}/${item.getValue(SORT_KEY).s()}"
+        return Row(key, item.getValue(VERSION).n().toLong(), item.getValue(VALUE).s())
+    }
+
+    /** The condition that selects the rows whose keys start with [prefix], and its values. */
+    fun prefixCondition(prefix: String): PrefixCondition {
+        val sortPrefix = RowKeys.sortKey(prefix)
+        val partition = mapOf(":pk" to text(RowKeys.partition(prefix)))
+        return if (sortPrefix.isEmpty()) {
+            PrefixCondition("$PARTITION_KEY = :pk", partition)
+        } else {
+            val expression = "$PARTITION_KEY = :pk AND begins_with($SORT_KEY, :sk)"
+            PrefixCondition(expression, partition + (":sk" to text(sortPrefix)))
+        }
+    }
+
+    class PrefixCondition(val expression: String, val values: Map<String, AttributeValue>)
+
+    fun transactItem(write: ConditionalWrite, tableName: String): TransactWriteItem {
+        val value = write.value
+        return if (value == null) delete(write, tableName) else put(write, value, tableName)
+    }
+
+    private fun put(write: ConditionalWrite, value: String, tableName: String): TransactWriteItem {
+        val item = key(write.key) + mapOf(VERSION to number(write.expectedVersion + 1), VALUE to text(value))
+        return TransactWriteItem.builder().put { put ->
+            put.tableName(tableName).item(item)
+            if (write.expectedVersion == ConditionalWrite.ABSENT) {
+                put.conditionExpression(ABSENT_CONDITION)
+            } else {
+                put.conditionExpression(VERSION_CONDITION)
+                    .expressionAttributeNames(versionName)
+                    .expressionAttributeValues(expected(write))
+            }
+        }.build()
+    }
+
+    private fun delete(write: ConditionalWrite, tableName: String): TransactWriteItem =
+        TransactWriteItem.builder().delete {
+            it.tableName(tableName)
+                .key(key(write.key))
+                .conditionExpression(VERSION_CONDITION)
+                .expressionAttributeNames(versionName)
+                .expressionAttributeValues(expected(write))
+        }.build()
+
+    private fun expected(write: ConditionalWrite) = mapOf(":expected" to number(write.expectedVersion))
+
+    private fun text(value: String) = AttributeValue.fromS(value)
+
+    private fun number(value: Long) = AttributeValue.fromN(value.toString())
+}
--- /dev/null
+++ b/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/DynamoPlatformTable.kt
@@ -0,0 +1,103 @@
+package dev.cardamomlane.platform
+
+import kotlinx.collections.immutable.toImmutableList
+import reactor.core.publisher.Flux
+import reactor.core.publisher.Mono
+import software.amazon.awssdk.core.exception.ApiCallTimeoutException
+import software.amazon.awssdk.core.exception.SdkException
+import software.amazon.awssdk.services.dynamodb.DynamoDbAsyncClient
+import software.amazon.awssdk.services.dynamodb.model.AttributeValue
+import software.amazon.awssdk.services.dynamodb.model.IdempotentParameterMismatchException
+import software.amazon.awssdk.services.dynamodb.model.QueryResponse
+import software.amazon.awssdk.services.dynamodb.model.TransactionCanceledException
+
+/**
+ * A [PlatformTable] over the DynamoDB API by the vendor's asynchronous client.
+ *
+ * Each operation sends one request, except for [scan], which sends one for each page. Nothing is repeated: whoever
+ * calls knows how long an answer is still of use. Reads are consistent.
+ */
+public class DynamoPlatformTable(private val settings: DynamoSettings) :
+    PlatformTable,
+    AutoCloseable {
+    private val holder = DynamoClient(settings)
+
+    override fun get(key: String): Mono<Row> {
+        RowKeys.requireValid(key)
+        return request { client ->
+            Mono.fromFuture {
+                client.getItem { it.tableName(settings.tableName).key(DynamoItems.key(key)).consistentRead(true) }
+            }
+        }.flatMap { if (it.hasItem()) Mono.just(DynamoItems.row(it.item())) else Mono.empty() }
+    }
+
+    override fun scan(prefix: String): Flux<Row> {
+        require('/' in prefix) { "prefix \"$prefix\" must hold a slash" }
+        val condition = DynamoItems.prefixCondition(prefix)
+        return request { client ->
+            page(client, condition, after = emptyMap())
+                .expand {
+                    if (it.hasLastEvaluatedKey()) page(client, condition, it.lastEvaluatedKey()) else Mono.empty()
+                }
+                .concatMapIterable { it.items() }
+                .map(DynamoItems::row)
+                .collectList()
+        }.flatMapIterable { it }
+    }
+
+    private fun page(
+        client: DynamoDbAsyncClient,
+        condition: DynamoItems.PrefixCondition,
+        after: Map<String, AttributeValue>,
+    ): Mono<QueryResponse> = Mono.fromFuture {
+        client.query {
+            it.tableName(settings.tableName)
+                .keyConditionExpression(condition.expression)
+                .expressionAttributeValues(condition.values)
+                .consistentRead(true)
+            if (after.isNotEmpty()) it.exclusiveStartKey(after)
+        }
+    }
+
+    override fun write(writes: List<ConditionalWrite>, token: String): Mono<WriteOutcome> {
+        WriteRequests.requireValid(writes, token)
+        val items = writes.map { DynamoItems.transactItem(it, settings.tableName) }
+        return request { client ->
+            Mono.fromFuture { client.transactWriteItems { it.transactItems(items).clientRequestToken(token) } }
+                .map<WriteOutcome> { WriteOutcome.Applied }
+                .onErrorResume(TransactionCanceledException::class.java) { conflictIn(it, writes) }
+        }
+    }
+
+    private fun conflictIn(error: TransactionCanceledException, writes: List<ConditionalWrite>): Mono<WriteOutcome> {
+        val codes = error.cancellationReasons().map { it.code() }
+        val changed = writes.zip(codes).filter { (_, code) -> code == CHECK_FAILED }.map { (write, _) -> write.key }
+        val isConflict = changed.isNotEmpty() || TRANSACTION_CONFLICT in codes
+        return if (isConflict) Mono.just(WriteOutcome.Conflict(changed.toImmutableList())) else Mono.error(error)
+    }
+
+    private fun <T : Any> request(send: (DynamoDbAsyncClient) -> Mono<T>): Mono<T> = Mono.defer {
+        val client = holder.get()
+        send(client)
+            .doOnError(ApiCallTimeoutException::class.java) { holder.replace(client) }
+            .onErrorMap(::translate)
+    }
+
+    private fun translate(error: Throwable): Throwable = when (error) {
+        is IdempotentParameterMismatchException -> IllegalArgumentException(
+            "token was used for other writes",
+            error,
+        )
+        is SdkException -> PlatformUnavailableException("table $settings: ${error.message}", error)
+        else -> error
+    }
+
+    override fun close() {
+        holder.close()
+    }
+
+    private companion object {
+        const val CHECK_FAILED = "ConditionalCheckFailed"
+        const val TRANSACTION_CONFLICT = "TransactionConflict"
+    }
+}
--- /dev/null
+++ b/cardamomlane-platform/src/test/kotlin/dev/cardamomlane/platform/DynamoPlatformTableTest.kt
@@ -0,0 +1,84 @@
+package dev.cardamomlane.platform
+
+import org.junit.jupiter.api.AfterAll
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+
+class DynamoPlatformTableTest : PlatformTableContract() {
+    override val table get() = adapter
+
+    private fun adapterWith(timeoutMillis: Long) = DynamoPlatformTable(
+        DynamoSettings(
+            answerer.endpoint,
+            "cardamomlane",
+            "local",
+            "access",
+            "secret",
+            timeoutMillis = timeoutMillis,
+        ),
+    )
+
+    @Test
+    fun `a lost answer fails, and repeating its token answers applied`() {
+        val token = token()
+        val write = ConditionalWrite(key("a"), 0, "1")
+        answerer.table.answersToLose = 1
+
+        assertFailsWith<PlatformUnavailableException> { write(write, token = token) }
+
+        assertNotNull(get("a"))
+        assertEquals(WriteOutcome.Applied, write(write, token = token))
+    }
+
+    @Test
+    fun `an error of the service arrives once and without a hidden retry`() {
+        val before = answerer.table.operationCount
+        answerer.table.requestsToLose = 1
+
+        assertFailsWith<PlatformUnavailableException> { get("a") }
+
+        assertEquals(1, answerer.table.operationCount - before)
+    }
+
+    @Test
+    fun `a service that is not there is unavailable`() {
+        val gone = DynamoAnswerer().apply { close() }
+        DynamoPlatformTable(DynamoSettings(gone.endpoint, "t", "local", "a", "s")).use {
+            assertFailsWith<PlatformUnavailableException> { it.get(key("a")).block() }
+            assertFailsWith<PlatformUnavailableException> { it.scan(key("a")).blockLast() }
+        }
+    }
+
+    @Test
+    fun `a silent connection times out and the next request uses a new one`() {
+        adapterWith(timeoutMillis = 300).use { impatient ->
+            answerer.requestsToSilence = 1
+            assertFailsWith<PlatformUnavailableException> { impatient.get(key("a")).block() }
+            assertFalse(impatient.get(key("a")).hasElement().block()!!)
+        }
+    }
+
+    @Test
+    fun `settings show no credentials`() {
+        val settings = DynamoSettings(answerer.endpoint, "cardamomlane", "local", "access", "secret")
+        assertFalse("secret" in settings.toString())
+    }
+
+    companion object {
+        private val answerer = DynamoAnswerer()
+        private val adapter =
+            DynamoPlatformTable(
+                DynamoSettings(answerer.endpoint, "cardamomlane", "local", "access", "secret", timeoutMillis = 10_000),
+            )
+
+        @JvmStatic
+        @AfterAll
+        fun close() {
+            adapter.close()
+            answerer.close()
+        }
+    }
+}
