--- /dev/null
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/StatusClient.kt
@@ -0,0 +1,33 @@
+package dev.cardamomlane.cli
+
+import dev.cardamomlane.platform.ListedHost
+import kotlinx.serialization.json.Json
+import reactor.core.publisher.Flux
+import reactor.core.publisher.Mono
+import reactor.netty.http.client.HttpClient
+import reactor.netty.resources.ConnectionProvider
+import java.time.Duration
+
+/** Asks the admin endpoints of hosts. */
+internal class StatusClient {
+    private val client = HttpClient.create(ConnectionProvider.newConnection())
+
+    fun ask(hosts: List<ListedHost>): List<HostStatus> =
+        Flux.fromIterable(hosts).flatMapSequential(::askOne).collectList().block().orEmpty()
+
+    private fun askOne(listed: ListedHost): Mono<HostStatus> = client.get()
+        .uri("http://${listed.adminAddress}/status")
+        .responseContent()
+        .aggregate()
+        .asString()
+        .map { json.decodeFromString<StatusReport>(it) }
+        .timeout(TIMEOUT)
+        .map { HostStatus(listed, it) }
+        .onErrorReturn(HostStatus(listed, report = null))
+        .defaultIfEmpty(HostStatus(listed, report = null))
+
+    private companion object {
+        val TIMEOUT: Duration = Duration.ofSeconds(2)
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/keys/KeyRing.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/keys/KeyRing.kt
@@ -19,13 +19,18 @@
     /**
      * Finds which key of [customer] has the text [key], or null when none has.
      *
-     * Compares with every key of the customer, and with a key that matches nothing when it has none, so that the time
-     * taken tells neither how close a guess came nor whether the customer exists.
+     * Compares with every key of the customer, and with one unused hash when it has none, so that the time taken tells
+     * neither how close a guess came nor whether the customer exists.
      */
     public fun identify(customer: CustomerId, key: String): KeyId? {
+        val entries = entriesByCustomer[customer]
+        if (entries == null) {
+            UNKNOWN.matches(key)
+            return null
+        }
         var found: KeyId? = null
-        for (entry in entriesByCustomer[customer] ?: UNKNOWN) {
-            if (entry.hash.matches(key) && entry.customer == customer) found = entry.id
+        for (entry in entries) {
+            if (entry.hash.matches(key)) found = entry.id
         }
         return found
     }
@@ -43,8 +48,8 @@
         /** A ring without keys. */
         public val EMPTY: KeyRing = KeyRing(persistentListOf())
 
-        private val UNKNOWN =
-            listOf(Entry(KeyId("none"), CustomerId("none"), KeyHash.of("", ByteArray(KeyHash.MIN_SALT_BYTES))))
+        /** Takes the place of a customer's hashes where there are none; what it says is not used. */
+        private val UNKNOWN = KeyHash.of("", ByteArray(KeyHash.MIN_SALT_BYTES))
 
         private fun entryOf(record: KeyRecord): Entry {
             val hash = requireNotNull(KeyHash.parse(record.hash)) { "key ${record.id} has a hash of unknown form" }
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/rules/RuleReader.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/rules/RuleReader.kt
@@ -36,7 +36,7 @@
                 databases = databases().ifEmpty { listOf(DatabasePattern.ANY) }.toImmutableList(),
                 tables = criteria.list(
                     "table",
-                    "a table name in lower case, * is the default",
+                    "a table name in lower case",
                     ::table,
                 ).toImmutableList(),
                 customers = customers().toImmutableList(),
--- /dev/null
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/keys/KeyRingTest.kt
@@ -0,0 +1,66 @@
+package dev.cardamomlane.core.keys
+
+import dev.cardamomlane.core.CustomerId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class KeyRingTest {
+    private val ana = CustomerId("ana")
+    private val bor = CustomerId("bor")
+    private val ring = KeyRing(listOf(record("k1", ana, "one"), record("k2", ana, "two"), record("k3", bor, "three")))
+
+    @Test
+    fun `finds each of a customer's keys`() {
+        assertEquals(KeyId("k1"), ring.identify(ana, "one"))
+        assertEquals(KeyId("k2"), ring.identify(ana, "two"))
+    }
+
+    @Test
+    fun `a key works for its own customer only`() {
+        assertNull(ring.identify(bor, "one"))
+        assertNull(ring.identify(CustomerId("none"), ""))
+        assertFalse(ring.isLive(bor, KeyId("k1")))
+    }
+
+    @Test
+    fun `a withdrawn key is not live`() {
+        val rest = KeyRing(ring.records.drop(1))
+
+        assertTrue(ring.isLive(ana, KeyId("k1")))
+        assertFalse(rest.isLive(ana, KeyId("k1")))
+        assertNull(rest.identify(ana, "one"))
+    }
+
+    @Test
+    fun `a hash reads back and does not hold the key`() {
+        val hash = KeyHash.of("key-in-clear", ByteArray(16) { it.toByte() })
+
+        assertTrue(checkNotNull(KeyHash.parse(hash.toString())).matches("key-in-clear"))
+        assertFalse("key-in-clear" in hash.toString())
+    }
+
+    @Test
+    fun `equal keys have different hashes under different salts`() {
+        assertFalse(KeyHash.of("a", ByteArray(16)).toString() == KeyHash.of("a", ByteArray(16) { 1 }).toString())
+    }
+
+    @Test
+    fun `texts of another form are no hashes`() {
+        for (text in listOf("", "sha256:00:00", "md5:${"00".repeat(16)}:${"00".repeat(32)}", "sha256:zz:zz")) {
+            assertNull(KeyHash.parse(text), text)
+        }
+        assertFailsWith<IllegalArgumentException> { KeyRing(listOf(KeyRecord(KeyId("k"), ana, "x"))) }
+    }
+
+    @Test
+    fun `refuses two keys of one id`() {
+        assertFailsWith<IllegalArgumentException> { KeyRing(listOf(record("k", ana, "a"), record("k", bor, "b"))) }
+    }
+
+    private fun record(id: String, customer: CustomerId, key: String) =
+        KeyRecord(KeyId(id), customer, KeyHash.of(key, ByteArray(16) { id.hashCode().toByte() }).toString())
+}
