--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetConnection.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetConnection.kt
@@ -18,6 +18,7 @@
  * connection with an open segment is never handed to another caller.
  */
 internal class TargetConnection(
+    val id: Long,
     val target: TargetId,
     private val session: OpenSession,
     private val timers: TimerService,
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetLane.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetLane.kt
@@ -6,38 +6,21 @@
 import dev.cardamomlane.core.queue.OfferResult
 import dev.cardamomlane.core.queue.QueueTicket
 import dev.cardamomlane.core.queue.SlotQueue
-import dev.cardamomlane.daemon.settings.TargetSettings
-import dev.cardamomlane.wire.OpenRequest
-import dev.cardamomlane.wire.OpenSession
-import dev.cardamomlane.wire.SessionOpener
-import org.tinylog.kotlin.Logger
-
-/**
- * The way to one target: the queue in front of its slots and the connections that this host keeps to it.
- *
- * @param maxConnections how many connections this host may have open now; read at each decision
- */
+
+/** The way to one target: the queue in front of its slots, and then a connection from the pool. */
 internal class TargetLane(
-    val settings: TargetSettings,
-    private val request: OpenRequest,
-    private val opener: SessionOpener,
+    val target: TargetId,
     private val timers: TimerService,
     private val queue: SlotQueue,
-    private val maxConnections: () -> Int,
+    private val pool: TargetPool,
 ) {
     private val queued = HashMap<Long, LaneEntry>()
-    private val awaitingConnection = ArrayDeque<LaneEntry>()
-    private val idle = ArrayDeque<TargetConnection>()
-    private val open = HashSet<TargetConnection>()
-    private var openingCount = 0
-
-    val target: TargetId get() = settings.name
 
-    /** Statements that run or wait on this host, and transactions that hold a connection. */
+    /** Statements that run or wait on this host. */
     val load: Int get() = queue.runningCount + queue.waitingCount
 
     val waitingCount: Int get() = queue.waitingCount
-    val connectionCount: Int get() = open.size
+    val connectionCount: Int get() = pool.connectionCount
 
     fun enter(ticket: QueueTicket, listener: LaneListener): LaneEntry {
         val entry = LaneEntry(ticket, listener)
@@ -62,14 +45,14 @@
             LaneEntry.State.QUEUED -> {
                 queue.cancel(entry.ticket.id)
                 queued.remove(entry.ticket.id)
+                entry.state = LaneEntry.State.ENDED
             }
             LaneEntry.State.CONNECTING -> {
-                awaitingConnection.remove(entry)
-                freeSlot(entry, serviceMillis = 0.0)
+                pool.cancel(entry.ticket.id)
+                endUnstarted(entry)
             }
-            else -> return
+            else -> Unit
         }
-        entry.state = LaneEntry.State.ENDED
     }
 
     /** Frees the slot of a statement that ended. The connection stays with the caller until [giveBack]. */
@@ -80,29 +63,25 @@
     }
 
     /** Returns a connection that is idle and in no transaction. */
-    fun giveBack(connection: TargetConnection) {
-        check(connection.isIdle) { "a connection to $target with an open answer was given back" }
-        if (!connection.isOpen) return
-        val next = awaitingConnection.removeFirstOrNull()
-        when {
-            next != null -> run(next, connection)
-            open.size > maxConnections() -> connection.close()
-            else -> idle.addLast(connection)
-        }
-    }
+    fun giveBack(connection: TargetConnection) = pool.giveBack(connection)
 
-    /** Refuses what waited too long. To be called from time to time. */
-    fun poll() = apply(queue.poll(timers.nowMillis()))
+    /** Sets how many connections this host may have to the target. */
+    fun setConnectionShare(count: Int) = pool.setShare(count)
 
-    /** Closes idle connections; called when the daemon stops. */
-    fun closeIdle() {
-        idle.toList().forEach { it.close() }
-        idle.clear()
+    /** Refuses what waited too long. To be called from time to time. */
+    fun poll() {
+        pool.poll()
+        apply(queue.poll(timers.nowMillis()))
     }
 
     private fun freeSlot(entry: LaneEntry, serviceMillis: Double) =
         apply(queue.finished(entry.ticket.id, serviceMillis, timers.nowMillis()))
 
+    private fun endUnstarted(entry: LaneEntry) {
+        entry.state = LaneEntry.State.ENDED
+        freeSlot(entry, serviceMillis = 0.0)
+    }
+
     private fun apply(dispatch: Dispatch) {
         dispatch.expired.forEach { refuse(it, "no slot of $target came free in time", retryAfterMillis = 0) }
         dispatch.started.forEach { ticket -> queued.remove(ticket.id)?.let { startEntry(it) } }
@@ -116,14 +95,15 @@
 
     private fun startEntry(entry: LaneEntry) {
         entry.state = LaneEntry.State.CONNECTING
-        entry.startedAtMillis = timers.nowMillis()
         entry.listener.onSlot()
-        while (true) {
-            val connection = idle.removeLastOrNull() ?: break
-            if (connection.isOpen) return run(entry, connection)
-        }
-        awaitingConnection.addLast(entry)
-        if (openingCount < awaitingConnection.size && open.size + openingCount < maxConnections()) openConnection()
+        pool.take(
+            entry.ticket.id,
+            onConnection = { run(entry, it) },
+            onFailed = { cause ->
+                endUnstarted(entry)
+                entry.listener.onConnectFailed(cause)
+            },
+        )
     }
 
     private fun run(entry: LaneEntry, connection: TargetConnection) {
@@ -132,38 +112,6 @@
         entry.listener.onConnection(entry, connection)
     }
 
-    private fun openConnection() {
-        openingCount++
-        opener.open(request).subscribe(
-            { session -> opened(session) },
-            { cause -> failed(cause) },
-        )
-    }
-
-    private fun opened(session: OpenSession) {
-        openingCount--
-        val connection = TargetConnection(target, session, timers, onClosed = { closed(it) })
-        open += connection
-        connection.start()
-        giveBack(connection)
-    }
-
-    private fun closed(connection: TargetConnection) {
-        open -= connection
-        idle.remove(connection)
-        if (awaitingConnection.isNotEmpty() && openingCount == 0) openConnection()
-    }
-
-    private fun failed(cause: Throwable) {
-        openingCount--
-        Logger.info("target: connection to {} failed. {}", target, cause.message)
-        val entry = awaitingConnection.removeFirstOrNull() ?: return
-        entry.state = LaneEntry.State.ENDED
-        freeSlot(entry, serviceMillis = 0.0)
-        entry.listener.onConnectFailed(cause)
-        if (awaitingConnection.isNotEmpty() && openingCount == 0) openConnection()
-    }
-
     private companion object {
         const val FULL_RETRY_MILLIS = 100L
     }
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetPool.kt
@@ -0,0 +1,90 @@
+package dev.cardamomlane.daemon.target
+
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.queue.ConnectionAction
+import dev.cardamomlane.core.queue.ConnectionBudget
+import dev.cardamomlane.wire.OpenRequest
+import dev.cardamomlane.wire.OpenSession
+import dev.cardamomlane.wire.SessionOpener
+import org.tinylog.kotlin.Logger
+
+/** The connections of this host to one target, as its [budget] wants them. */
+internal class TargetPool(
+    private val target: TargetId,
+    private val request: OpenRequest,
+    private val opener: SessionOpener,
+    private val timers: TimerService,
+    private val budget: ConnectionBudget,
+) {
+    private val waiting = LinkedHashMap<Long, Waiter>()
+    private val open = HashMap<Long, TargetConnection>()
+
+    val connectionCount: Int get() = budget.connectionCount
+
+    /** Calls [onConnection] once a connection is free for [requestId], or [onFailed] when none can be opened. */
+    fun take(requestId: Long, onConnection: (TargetConnection) -> Unit, onFailed: (Throwable) -> Unit) {
+        waiting[requestId] = Waiter(onConnection, onFailed)
+        perform(budget.request(requestId, timers.nowMillis()))
+    }
+
+    /** Withdraws a request that has got no connection yet. */
+    fun cancel(requestId: Long) {
+        waiting.remove(requestId)
+        budget.cancel(requestId)
+    }
+
+    /** Takes back a connection that is idle and in no transaction. */
+    fun giveBack(connection: TargetConnection) {
+        check(connection.isIdle) { "a connection to $target with an open answer was given back" }
+        if (connection.isOpen) perform(budget.released(connection.id, timers.nowMillis()))
+    }
+
+    fun setShare(count: Int) = perform(budget.setShare(count, timers.nowMillis()))
+
+    fun poll() = perform(budget.poll(timers.nowMillis()))
+
+    private fun perform(actions: List<ConnectionAction>) = actions.forEach { action ->
+        when (action) {
+            is ConnectionAction.Open -> open(action.connectionId)
+            is ConnectionAction.HandOver -> handOver(action)
+            is ConnectionAction.Close -> open.remove(action.connectionId)?.close()
+        }
+    }
+
+    private fun handOver(action: ConnectionAction.HandOver) {
+        val connection = open.getValue(action.connectionId)
+        val waiter = waiting.remove(action.requestId)
+        if (waiter == null) giveBack(connection) else waiter.onConnection(connection)
+    }
+
+    private fun open(connectionId: Long) {
+        opener.open(request).subscribe(
+            { session -> opened(connectionId, session) },
+            { cause -> failed(connectionId, cause) },
+        )
+    }
+
+    private fun opened(connectionId: Long, session: OpenSession) {
+        val connection = TargetConnection(connectionId, target, session, timers, onClosed = { closed(it) })
+        open[connectionId] = connection
+        connection.start()
+        perform(budget.opened(connectionId, timers.nowMillis()))
+    }
+
+    private fun closed(connection: TargetConnection) {
+        if (open.remove(connection.id) == null) return
+        perform(budget.lost(connection.id, timers.nowMillis()))
+    }
+
+    private fun failed(connectionId: Long, cause: Throwable) {
+        Logger.info("target: connection to {} failed. {}", target, cause.message)
+        perform(budget.lost(connectionId, timers.nowMillis()))
+        if (open.isNotEmpty()) return
+        val failed = waiting.toMap()
+        failed.keys.forEach { cancel(it) }
+        failed.values.forEach { it.onFailed(cause) }
+    }
+
+    private class Waiter(val onConnection: (TargetConnection) -> Unit, val onFailed: (Throwable) -> Unit)
+}
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/DataPathFixture.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/DataPathFixture.kt
@@ -1,16 +1,16 @@
 package dev.cardamomlane.daemon.caller
 
-import dev.cardamomlane.core.AvailabilityZone
 import dev.cardamomlane.core.HostId
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.queue.FixedLimit
+import dev.cardamomlane.core.queue.RealConnectionBudget
 import dev.cardamomlane.core.queue.RealSlotQueue
 import dev.cardamomlane.daemon.MapGroupDirectory
 import dev.cardamomlane.daemon.RealTimerService
 import dev.cardamomlane.daemon.settings.CallerSettings
-import dev.cardamomlane.daemon.settings.TargetSettings
 import dev.cardamomlane.daemon.target.RealTargetProbe
 import dev.cardamomlane.daemon.target.TargetLane
+import dev.cardamomlane.daemon.target.TargetPool
 import dev.cardamomlane.wire.OpenRequest
 import dev.cardamomlane.wire.RealSessionOpener
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
@@ -75,11 +75,9 @@
     }
 
     private fun lane(name: TargetId, request: OpenRequest) = TargetLane(
-        settings = TargetSettings(name, AvailabilityZone("kranj"), request.address, slots = 5, connections = 35),
-        request = request,
-        opener = opener,
+        target = name,
         timers = timers,
         queue = RealSlotQueue(FixedLimit(5)),
-        maxConnections = { 4 },
+        pool = TargetPool(name, request, opener, timers, RealConnectionBudget(share = 4)),
     )
 }
