Core: outcome of an attempt, retry budget, silence probe; machine behaviours

outcomeOf tells not run, repeat, unknown and a lost transaction apart; the retry budget grows with requests, so retries stay a part of them; SilenceProbe parts a silent connection from a slow target. The data path does not use these yet: it has its own checks of the first and the last.

FailoverMachineTest covers the suspicion bound, the pause guard (seen to fail without it), repeated commands, refused attempts, the platform's bound, the handover of a leaving primary and the limit on repeated failovers.

Position answers and confirmed writes now feed the lag estimate.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverMachine.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverMachine.kt
@@ -92,14 +92,15 @@
     private fun onPromote(event: FailoverEvent.PromoteAnswered, nowMillis: Long) {
         val promoting = phase as? Phase.Promoting ?: return
         if (event.term != promoting.term || event.target != promoting.target) return
-        if (event.granted) announce(promoting) else backOff(promoting.term, nowMillis)
+        if (event.granted) announce(promoting, nowMillis) else backOff(promoting.term, nowMillis)
     }
 
-    private fun announce(promoting: Phase.Promoting) {
+    private fun announce(promoting: Phase.Promoting, nowMillis: Long) {
         monitor.onTerm(promoting.term, promoting.target)
         actions += FailoverAction.AnnounceTerm(promoting.term, promoting.target, claimant)
         monitor.targets.filter { it.id != promoting.target }
             .forEach { actions += FailoverAction.Follow(it.id, promoting.term, promoting.target) }
+        repairedAtMillis = nowMillis
         stop(Phase.Idle())
     }
 
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/group/GroupMonitor.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/group/GroupMonitor.kt
@@ -90,6 +90,12 @@
         table = buildTable()
     }
 
+    /** Takes in that [target] had [applied] when it answered a position check. */
+    public fun onApplied(target: TargetId, applied: LogPosition, nowMillis: Long) {
+        state(target).lag.onApplied(applied, nowMillis, timeline)
+        table = buildTable()
+    }
+
     /** Takes in that a read on [target] found less applied than it needed. */
     public fun onMissed(target: TargetId) {
         state(target).lag.onMissed()
--- /dev/null
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/retry/SilenceProbe.kt
@@ -0,0 +1,34 @@
+package dev.cardamomlane.core.retry
+
+/**
+ * Tells a connection that went silent for good from a target that is slow to answer.
+ *
+ * While an answer is owed and nothing was heard for [silenceMillis], it wants a question asked on a new connection:
+ * whether the target still works on the request. Only a target that is reached and knows nothing of the request, or
+ * one that is not reached at all, condemns the connection.
+ */
+public class SilenceProbe(sentAtMillis: Long, private val silenceMillis: Long = 1_000) {
+    private var heardAtMillis = sentAtMillis
+    private var nextProbeMillis = sentAtMillis + silenceMillis
+    private var isProbing = false
+
+    /** Takes in that something came over the connection. */
+    public fun onHeard(nowMillis: Long) {
+        heardAtMillis = nowMillis
+        nextProbeMillis = nowMillis + silenceMillis
+    }
+
+    /** Whether to ask on a new connection now. Its answer must come to [onProbed]. */
+    public fun wantsProbe(nowMillis: Long): Boolean {
+        if (isProbing || nowMillis < nextProbeMillis) return false
+        isProbing = true
+        return true
+    }
+
+    /** Returns whether the connection is to be given up, after the target said if it [works] on the request. */
+    public fun onProbed(works: Boolean, nowMillis: Long): Boolean {
+        isProbing = false
+        nextProbeMillis = nowMillis + silenceMillis
+        return !works && nowMillis - heardAtMillis >= silenceMillis
+    }
+}
--- /dev/null
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/failover/FailoverMachineTest.kt
@@ -0,0 +1,118 @@
+package dev.cardamomlane.core.failover
+
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.group.A
+import dev.cardamomlane.core.group.B
+import dev.cardamomlane.core.group.C
+import dev.cardamomlane.core.group.FENCED
+import dev.cardamomlane.core.group.GroupFixture
+import dev.cardamomlane.core.group.primary
+import dev.cardamomlane.core.group.replica
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class FailoverMachineTest {
+    private val group = GroupFixture()
+    private val machine = FailoverMachine(HostId("host-1"), "one", group.monitor, Random(1))
+
+    private fun on(event: FailoverEvent = FailoverEvent.Tick) = machine.on(event, group.nowMillis)
+
+    private fun healthy() = group.poll(A to primary("1:9"), B to replica("1:9"), C to replica("1:9"))
+
+    /** Polls every 100 ms without an answer of the primary, and returns what the machine wants. */
+    private fun loseFor(millis: Int) = (1..millis / 100).flatMap {
+        group.nowMillis += 100
+        group.poll(B to replica("1:9"), C to replica("1:8"))
+        on()
+    }
+
+    private fun suspect() {
+        healthy()
+        on()
+        loseFor(600)
+    }
+
+    private fun startFencing() {
+        suspect()
+        on(FailoverEvent.PeersAsked(0))
+        on(FailoverEvent.ClaimAnswered(term = 2, ClaimOutcome.Won))
+    }
+
+    private fun grant(target: TargetId, log: String) =
+        on(FailoverEvent.FenceAnswered(target, 2, granted = true, replica(log, fence = 2, following = null)))
+
+    @Test
+    fun `asks peers once the primary is silent for the time of suspicion`() {
+        healthy()
+        on()
+        assertEquals(emptyList(), loseFor(400))
+        assertEquals(listOf<FailoverAction>(FailoverAction.AskPeers(term = 1)), loseFor(100))
+    }
+
+    @Test
+    fun `timeouts that fire after a pause of this process are no suspicion`() {
+        healthy()
+        on()
+        group.nowMillis = 3_000
+        repeat(3) { group.monitor.onFailure(A, sentAtMillis = 100L + it, newConnection = true) }
+        assertEquals(emptyList(), on())
+    }
+
+    @Test
+    fun `repeats fences without an answer and promotes the highest log of a majority`() {
+        startFencing()
+        grant(C, "1:8")
+        group.nowMillis += 150
+        assertEquals(listOf(A, B), on().filterIsInstance<FailoverAction.Fence>().map { it.target })
+        assertEquals(listOf<FailoverAction>(FailoverAction.Promote(B, 2, "one")), grant(B, "1:9"))
+        group.nowMillis += 150
+        assertEquals(listOf<FailoverAction>(FailoverAction.Promote(B, 2, "one")), on())
+
+        val done = on(FailoverEvent.PromoteAnswered(B, 2, granted = true))
+        assertIs<FailoverAction.AnnounceTerm>(done.first())
+        assertEquals(listOf(A, C), done.filterIsInstance<FailoverAction.Follow>().map { it.target })
+        assertEquals(B, group.monitor.primary)
+    }
+
+    @Test
+    fun `an attempt that is refused takes a higher term`() {
+        startFencing()
+        on(FailoverEvent.FenceAnswered(B, 2, granted = false, FENCED.copy(fenceTerm = 5)))
+        loseFor(600)
+        assertEquals(FailoverAction.ClaimTerm(6, "one"), on(FailoverEvent.PeersAsked(0)).single())
+    }
+
+    @Test
+    fun `goes on without the platform after its bound`() {
+        suspect()
+        on(FailoverEvent.PeersAsked(0))
+        group.nowMillis += 300
+        assertTrue(on().any { it is FailoverAction.Fence })
+    }
+
+    @Test
+    fun `hands a leaving primary over once transactions had time to finish`() {
+        val polls = (1..40).flatMap {
+            group.nowMillis += 100
+            group.poll(A to primary("1:9", leaving = true), B to replica("1:9"), C to replica("1:9"))
+            on().map { action -> group.nowMillis to action }
+        }
+        val (atMillis, first) = polls.first()
+        assertIs<FailoverAction.ClaimTerm>(first)
+        assertTrue(atMillis in 1_600..1_900, "claimed at $atMillis")
+    }
+
+    @Test
+    fun `repeated failovers get further apart`() {
+        val limit = PromotionLimit()
+        val intervals = (1..6).map { count ->
+            limit.onNewTerm(count * 10L)
+            (0L..60_000L step 100).first { limit.allows(count * 10L + it) }
+        }
+        assertEquals(listOf<Long>(500, 500, 500, 1_000, 2_000, 4_000), intervals)
+    }
+}
--- /dev/null
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/retry/RetryTest.kt
@@ -0,0 +1,55 @@
+package dev.cardamomlane.core.retry
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class RetryTest {
+    @Test
+    fun `a request is repeated only if it did not run or may run twice`() {
+        val sent = AttemptFacts(sent = true)
+        val cases = listOf(
+            AttemptFacts(sent = false) to AttemptOutcome.NOT_RUN,
+            sent to AttemptOutcome.UNKNOWN,
+            sent.copy(refusedByTarget = true) to AttemptOutcome.NOT_RUN,
+            sent.copy(refusedByTarget = true, answered = true) to AttemptOutcome.UNKNOWN,
+            sent.copy(repeatable = true) to AttemptOutcome.REPEAT,
+            sent.copy(discardedAsStale = true) to AttemptOutcome.REPEAT,
+            sent.copy(repeatable = true, answered = true) to AttemptOutcome.UNKNOWN,
+            sent.copy(repeatable = true, inTransaction = true) to AttemptOutcome.UNKNOWN,
+            AttemptFacts(sent = false, inTransaction = true) to AttemptOutcome.TRANSACTION_LOST,
+            sent.copy(refusedByTarget = true, inTransaction = true) to AttemptOutcome.TRANSACTION_LOST,
+        )
+        for ((facts, outcome) in cases) assertEquals(outcome, outcomeOf(facts), "$facts")
+    }
+
+    @Test
+    fun `retries stay a part of the requests`() {
+        val budget = RetryBudget(ratio = 0.1, maxRetries = 20.0)
+        val granted = (1..1_000).count {
+            budget.onRequest()
+            budget.tryRetry()
+        }
+        assertTrue(granted in 115..121, "$granted retries")
+    }
+
+    @Test
+    fun `a slow target is left to work and a silent connection is given up`() {
+        val probe = SilenceProbe(sentAtMillis = 0, silenceMillis = 1_000)
+        assertFalse(probe.wantsProbe(nowMillis = 999))
+        assertTrue(probe.wantsProbe(nowMillis = 1_000))
+        assertFalse(probe.wantsProbe(nowMillis = 1_010), "while one is on its way")
+        assertFalse(probe.onProbed(works = true, nowMillis = 1_020))
+        assertTrue(probe.wantsProbe(nowMillis = 2_020))
+        assertTrue(probe.onProbed(works = false, nowMillis = 2_030))
+    }
+
+    @Test
+    fun `a connection that was heard during the probe is kept`() {
+        val probe = SilenceProbe(sentAtMillis = 0, silenceMillis = 1_000)
+        assertTrue(probe.wantsProbe(nowMillis = 1_000))
+        probe.onHeard(nowMillis = 1_010)
+        assertFalse(probe.onProbed(works = false, nowMillis = 1_020))
+    }
+}
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/RealDatabaseGroup.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/RealDatabaseGroup.kt
@@ -26,7 +26,7 @@
     private val watch: GroupWatch,
     private val timers: TimerService,
 ) : DatabaseGroup {
-    private val acknowledgedAtMillis = HashMap<TargetId, Long>()
+    private val heardAtMillis = HashMap<TargetId, Long>()
 
     override val database: DatabaseId get() = monitor.database
 
@@ -41,8 +41,11 @@
     override fun observe(event: TargetEvent) {
         when (event) {
             is TargetEvent.Failed, is TargetEvent.NotPrimary -> watch.pollSoon()
-            is TargetEvent.Acknowledged -> onAcknowledged(event)
-            is TargetEvent.Applied, is TargetEvent.Served -> Unit
+            is TargetEvent.Acknowledged ->
+                if (isDue(event.target)) monitor.onAcknowledged(event.position, timers.nowMillis())
+            is TargetEvent.Applied ->
+                if (isDue(event.target)) monitor.onApplied(event.target, event.applied, timers.nowMillis())
+            is TargetEvent.Served -> Unit
         }
     }
 
@@ -58,16 +61,16 @@
         watch.pollSoon()
     }
 
-    /** A few positions a second are enough to know when the primary reached which one. */
-    private fun onAcknowledged(event: TargetEvent.Acknowledged) {
+    /** Bounds how often positions that the data path saw rebuild the routing table. */
+    private fun isDue(target: TargetId): Boolean {
         val nowMillis = timers.nowMillis()
-        val lastMillis = acknowledgedAtMillis[event.target]
-        if (lastMillis != null && nowMillis - lastMillis < ACKNOWLEDGED_SPACING_MILLIS) return
-        acknowledgedAtMillis[event.target] = nowMillis
-        monitor.onAcknowledged(event.position, nowMillis)
+        val lastMillis = heardAtMillis[target]
+        if (lastMillis != null && nowMillis - lastMillis < HEARD_SPACING_MILLIS) return false
+        heardAtMillis[target] = nowMillis
+        return true
     }
 
     private companion object {
-        const val ACKNOWLEDGED_SPACING_MILLIS = 5L
+        const val HEARD_SPACING_MILLIS = 5L
     }
 }
