--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/Lanebench.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/Lanebench.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.bench
 
 import dev.cardamomlane.bench.chaos.ChaosCommand
+import dev.cardamomlane.bench.fleet.ControlCommand
 import dev.cardamomlane.bench.fleet.FleetcheckCommand
 import dev.cardamomlane.bench.fleet.LimitsCommand
 import dev.cardamomlane.bench.queue.QueueCommand
@@ -15,6 +16,7 @@
     subcommands = [
         BenchCommand::class,
         ChaosCommand::class,
+        ControlCommand::class,
         LimitsCommand::class,
         QueueCommand::class,
         QuickstartCommand::class,
--- /dev/null
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/fleet/ControlCost.kt
@@ -0,0 +1,30 @@
+package dev.cardamomlane.bench.fleet
+
+/** What the control of a simulated fleet cost, over all hosts. */
+internal class ControlCost {
+    var messages = 0L
+    var bytes = 0L
+    var reads = 0L
+    var leaseScans = 0L
+    var writes = 0L
+    var changes = 0L
+    var cpuNanos = 0L
+
+    /** Runs [work] and adds its time. */
+    inline fun <T> timed(work: () -> T): T {
+        val startNanos = System.nanoTime()
+        val result = work()
+        cpuNanos += System.nanoTime() - startNanos
+        return result
+    }
+
+    fun reset() {
+        messages = 0
+        bytes = 0
+        reads = 0
+        leaseScans = 0
+        writes = 0
+        changes = 0
+        cpuNanos = 0
+    }
+}
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetMachine.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetMachine.kt
@@ -92,10 +92,11 @@
     private fun onBeat(nowMillis: Long, actions: MutableList<FleetAction>) {
         questions.expire(nowMillis)
         askPeers(nowMillis, actions)
-        if (polling.isDue(record, { isFresh(it, nowMillis) }, platformMillis, nowMillis)) {
+        val isFresh = { member: MemberId -> isFresh(member, nowMillis) }
+        if (polling.isDue(record, isFresh, platformMillis, nowMillis)) {
             polling.started(nowMillis)
             actions += FleetAction.ReadPlatform
-            if (steward.isScanDue(nowMillis)) actions += FleetAction.ReadLeases
+            if (polling.isRegular(record, isFresh) && steward.isScanDue(nowMillis)) actions += FleetAction.ReadLeases
         }
         if (!isOver && (renewedMillis == Long.MIN_VALUE || nowMillis - renewedMillis >= leasePeriodMillis)) {
             renewedMillis = nowMillis
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/Polling.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/Polling.kt
@@ -11,7 +11,7 @@
     private var isFailing = false
 
     fun isDue(record: MemberRecord, isFresh: (MemberId) -> Boolean, platformMillis: Long, nowMillis: Long): Boolean {
-        val isRegular = self !in record || rank(record, isFresh) < REGULAR_POLLERS
+        val isRegular = isRegular(record, isFresh)
         val sinceMillis = startedMillis?.let { nowMillis - it } ?: return true
         if (isRegular) return sinceMillis >= timings.pollMillis
         val patienceMillis = PATIENCE_MILLIS + rank(record, isFresh) * PATIENCE_STEP_MILLIS
@@ -20,6 +20,10 @@
         return !hasWord && sinceMillis >= periodMillis
     }
 
+    /** True on a host that reads whether or not others do. */
+    fun isRegular(record: MemberRecord, isFresh: (MemberId) -> Boolean): Boolean =
+        self !in record || rank(record, isFresh) < REGULAR_POLLERS
+
     fun started(nowMillis: Long) {
         startedMillis = nowMillis
     }
