--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/FleetCommands.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/FleetCommands.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.putJsonArray
 import picocli.CommandLine.Command
 import picocli.CommandLine.ParentCommand
+import java.time.Instant
 import java.util.concurrent.Callable
 
 /** Shows what each listed host has in force. */
@@ -54,7 +55,7 @@
     private fun line(status: HostStatus): String {
         val host = "${status.listed.host} ${status.listed.availabilityZone} ${status.listed.state.name.lowercase()}"
         val report = status.report ?: return "$host no answer"
-        val since = report.revisionInForceSinceMillis?.let { " for $it ms" }.orEmpty()
+        val since = report.revisionInForceSinceMillis?.let { " since ${Instant.ofEpochMilli(it)}" }.orEmpty()
         val standing = if (report.standing) "in standing" else "out of standing"
         val ready = if (report.ready) "ready" else "not ready"
         val groups = report.groups.joinToString("") { " ${it.database}=${it.primary}@${it.term}" }
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/HttpHostList.kt
+++ b/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/HttpHostList.kt
@@ -14,7 +14,7 @@
 import java.time.Duration
 
 /**
- * A [HostList] that a URL answers as a JSON array.
+ * A [HostList] that a URL answers as a JSON array. A host without a state counts as live.
  *
  * Each question opens a connection of its own, so that one that went silent is never met again.
  */
@@ -30,7 +30,7 @@
         val availabilityZone: String,
         val peerAddress: String,
         val adminAddress: String,
-        val state: HostState,
+        val state: HostState = HostState.LIVE,
     )
 
     override fun hosts(): Mono<ImmutableList<ListedHost>> = client.get()
--- a/cardamomlane-platform/src/test/kotlin/dev/cardamomlane/platform/HttpHostListTest.kt
+++ b/cardamomlane-platform/src/test/kotlin/dev/cardamomlane/platform/HttpHostListTest.kt
@@ -34,6 +34,13 @@
         assertEquals(persistentListOf(expected), list.hosts().block())
     }
 
+    @Test
+    fun `a host without a state is live`() {
+        body = Mono.just("""[{"host":"h","availabilityZone":"a","peerAddress":"p","adminAddress":"q"}]""")
+
+        assertEquals(HostState.LIVE, list.hosts().block()?.single()?.state)
+    }
+
     @Test
     fun `other answers are unavailable`() {
         for (bad in listOf("{}", "", "[{}]", "no json")) {
