Daemon: bound the connections that probe a silent target

Sessions that ask for floors start rounds 10 ms apart. With a silent target each of them would have opened a control connection, of which a target keeps 16 for the whole fleet. TargetPoller opens at most two at once, 90 ms apart, and gives a late answer up after 400 ms. A stall of replication is now read only from a primary that answers, and a peer that names an unknown target is ignored.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverMachine.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverMachine.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.core.failover
 
 import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.group.GroupMonitor
 import kotlin.random.Random
 
@@ -61,15 +62,20 @@
             is FailoverEvent.ClaimAnswered -> onClaim(event, nowMillis)
             is FailoverEvent.FenceAnswered -> onFence(event, nowMillis)
             is FailoverEvent.PromoteAnswered -> onPromote(event, nowMillis)
-            is FailoverEvent.TermAnnounced -> monitor.onTerm(event.term, event.primary)
+            is FailoverEvent.TermAnnounced -> onTermTold(event.term, event.primary)
         }
     }
 
     private fun onPeer(view: PeerView) {
-        if (view.primary != null && view.term > monitor.term) monitor.onTerm(view.term, view.primary)
+        view.primary?.let { onTermTold(view.term, it) }
         (phase as? Phase.Asking)?.tally?.onAnswer(view)
     }
 
+    /** A peer with other settings may name a target that is unknown here. */
+    private fun onTermTold(term: Long, primary: TargetId) {
+        if (monitor.targets.any { it.id == primary }) monitor.onTerm(term, primary)
+    }
+
     private fun onClaim(event: FailoverEvent.ClaimAnswered, nowMillis: Long) {
         val claiming = phase as? Phase.Claiming ?: return
         if (event.term != claiming.term) return
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverTrigger.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverTrigger.kt
@@ -96,7 +96,7 @@
         if (best > bestReceived) progressAtMillis = nowMillis
         bestReceived = maxOf(best, bestReceived)
         val held = received.getOrNull(monitor.majority - 1)
-        val written = monitor.primary?.let { monitor.report(it) }?.status?.received
+        val written = reports.find { it.target == monitor.primary }?.status?.received
         val stalls = held != null && written != null && held == majorityReceived && written > held
         if (!stalls) stalledSinceMillis = nowMillis
         majorityReceived = held ?: LogPosition.START
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/GroupWatch.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/GroupWatch.kt
@@ -8,7 +8,6 @@
 import dev.cardamomlane.core.failover.FailoverEvent
 import dev.cardamomlane.core.failover.FailoverMachine
 import dev.cardamomlane.core.group.GroupMonitor
-import dev.cardamomlane.core.group.PollRound
 import org.tinylog.kotlin.Logger
 import reactor.core.publisher.Mono
 import reactor.core.scheduler.Scheduler
@@ -29,7 +28,9 @@
     private val scheduler: Scheduler,
     private val settings: WatchSettings = WatchSettings(),
 ) {
-    private val unanswered = HashMap<TargetId, Long>()
+    private val pollers = controls.values.map { control ->
+        TargetPoller(control, monitor, timers, scheduler, settings) { on(FailoverEvent.Tick) }
+    }
     private val subscriptions = ArrayList<TimerSubscription>()
     private var polledAtMillis = Long.MIN_VALUE / 2
     private var isPollDue = false
@@ -71,32 +72,7 @@
         val nowMillis = timers.nowMillis()
         polledAtMillis = nowMillis
         val round = monitor.beginRound(nowMillis)
-        controls.keys.forEach { ask(it, round) }
-    }
-
-    private fun ask(target: TargetId, round: PollRound) {
-        val sentAtMillis = round.sentAtMillis
-        val sinceMillis = unanswered.getOrPut(target) { sentAtMillis }
-        val newConnection = sentAtMillis - sinceMillis >= settings.probeAfterMillis
-        val onFailed = {
-            monitor.onFailure(target, sentAtMillis, newConnection)
-            on(FailoverEvent.Tick)
-        }
-        // A late answer still counts: it tells a slow target from a silent one.
-        val timeout = timers.after(settings.pollTimeoutMillis, onFailed)
-        control(target).status(newConnection).within(settings.lateAnswerMillis).subscribe(
-            { status ->
-                timeout.cancel()
-                unanswered.remove(target)
-                monitor.onStatus(round, target, status, timers.nowMillis())
-                on(FailoverEvent.Tick)
-            },
-            {
-                val isFirst = timers.nowMillis() - sentAtMillis < settings.pollTimeoutMillis
-                timeout.cancel()
-                if (isFirst) onFailed()
-            },
-        )
+        pollers.forEach { it.poll(round) }
     }
 
     private fun perform(action: FailoverAction) {
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/RealDatabaseGroup.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/RealDatabaseGroup.kt
@@ -56,7 +56,6 @@
 
     /** Takes in that a peer told of a new term. */
     fun onNewTerm(term: Long, primary: TargetId) {
-        if (monitor.targets.none { it.id == primary }) return
         watch.on(FailoverEvent.TermAnnounced(term, primary))
         watch.pollSoon()
     }
--- /dev/null
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/TargetPoller.kt
@@ -0,0 +1,75 @@
+package dev.cardamomlane.daemon.group
+
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.group.GroupMonitor
+import dev.cardamomlane.core.group.PollRound
+import reactor.core.scheduler.Scheduler
+import java.time.Duration
+
+/**
+ * Polls one target for [monitor]: over the kept connection, and over new ones while that leaves polls unanswered.
+ *
+ * A late answer still counts, because it tells a slow target from a silent one. Few new connections are open at once,
+ * so that a slow target does not run out of control connections.
+ *
+ * @param onChange hears that [monitor] has learnt something
+ */
+internal class TargetPoller(
+    private val control: TargetControl,
+    private val monitor: GroupMonitor,
+    private val timers: TimerService,
+    private val scheduler: Scheduler,
+    private val settings: WatchSettings,
+    private val onChange: () -> Unit,
+) {
+    private var unansweredSinceMillis: Long? = null
+    private var probedAtMillis = Long.MIN_VALUE / 2
+    private var openProbes = 0
+
+    /** Asks the target for [round], unless enough questions wait for an answer. */
+    fun poll(round: PollRound) {
+        val sinceMillis = unansweredSinceMillis ?: round.sentAtMillis
+        unansweredSinceMillis = sinceMillis
+        when {
+            round.sentAtMillis - sinceMillis < settings.probeAfterMillis -> ask(round, newConnection = false)
+            mayProbe(round.sentAtMillis) -> probe(round)
+        }
+    }
+
+    private fun mayProbe(nowMillis: Long): Boolean =
+        openProbes < settings.maxProbes && nowMillis - probedAtMillis >= settings.probeAfterMillis
+
+    private fun probe(round: PollRound) {
+        probedAtMillis = round.sentAtMillis
+        openProbes++
+        ask(round, newConnection = true)
+    }
+
+    private fun ask(round: PollRound, newConnection: Boolean) {
+        var isOpen = true
+        val onFailed = {
+            if (isOpen) {
+                isOpen = false
+                monitor.onFailure(control.target, round.sentAtMillis, newConnection)
+                onChange()
+            }
+        }
+        val timeout = timers.after(settings.pollTimeoutMillis, onFailed)
+        control.status(newConnection)
+            .timeout(Duration.ofMillis(settings.lateAnswerMillis), scheduler)
+            .publishOn(scheduler)
+            .doFinally {
+                timeout.cancel()
+                if (newConnection) openProbes--
+            }
+            .subscribe(
+                { status ->
+                    isOpen = false
+                    unansweredSinceMillis = null
+                    monitor.onStatus(round, control.target, status, timers.nowMillis())
+                    onChange()
+                },
+                { onFailed() },
+            )
+    }
+}
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/WatchSettings.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/WatchSettings.kt
@@ -8,6 +8,7 @@
  * @property pollTimeoutMillis when a poll counts as failed
  * @property lateAnswerMillis when the answer to a poll is given up
  * @property probeAfterMillis how long polls stay unanswered before the next one opens a connection of its own
+ * @property maxProbes how many such connections to one target may wait for an answer at once
  * @property tickMillis how often the failover machine hears that time has passed
  * @property commandTimeoutMillis when the answer to a fence or a redirection is given up
  * @property promoteTimeoutMillis the same for a promotion, which may have to replay the log first
@@ -18,8 +19,9 @@
     val pollMillis: Long = 100,
     val pollSpacingMillis: Long = 10,
     val pollTimeoutMillis: Long = 200,
-    val lateAnswerMillis: Long = 1_000,
+    val lateAnswerMillis: Long = 400,
     val probeAfterMillis: Long = 90,
+    val maxProbes: Int = 2,
     val tickMillis: Long = 20,
     val commandTimeoutMillis: Long = 500,
     val promoteTimeoutMillis: Long = 5_000,
