--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverMachine.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverMachine.kt
@@ -37,10 +37,6 @@
     private var silentAsks = 0
     private var repairedAtMillis: Long? = null
 
-    /** Why the current attempt runs, or null while none does. */
-    public var attempt: FailoverReason? = null
-        private set
-
     /** What this daemon answers to peers that ask at [nowMillis]. */
     public fun view(nowMillis: Long): PeerView = PeerView(host, monitor.term, monitor.primary, trigger.reach(nowMillis))
 
@@ -107,7 +103,7 @@
         monitor.targets.filter { it.id != promoting.target }
             .forEach { actions += FailoverAction.Follow(it.id, promoting.term, promoting.target) }
         repairedAtMillis = nowMillis
-        stop(Phase.Idle())
+        setPhase(Phase.Idle())
     }
 
     private fun noticeTerm(nowMillis: Long) {
@@ -116,9 +112,9 @@
         limit.onNewTerm(nowMillis)
         when (val current = phase) {
             // Once targets are fenced at a later term, only that attempt can give the group a primary again.
-            is Phase.Fencing -> if (monitor.term >= current.term) stop(Phase.Idle())
-            is Phase.Promoting -> if (monitor.term >= current.term) stop(Phase.Idle())
-            else -> stop(Phase.Idle())
+            is Phase.Fencing -> if (monitor.term >= current.term) setPhase(Phase.Idle())
+            is Phase.Promoting -> if (monitor.term >= current.term) setPhase(Phase.Idle())
+            else -> setPhase(Phase.Idle())
         }
     }
 
@@ -137,7 +133,6 @@
     private fun advanceIdle(idle: Phase.Idle, nowMillis: Long) {
         val reason = trigger.reason(nowMillis) ?: return
         if (nowMillis < idle.notBeforeMillis || (reason.isLimited && !limit.allows(nowMillis))) return
-        attempt = reason
         if (reason == FailoverReason.PRIMARY_UNREACHABLE) {
             silentAsks = 0
             ask(nowMillis)
@@ -153,13 +148,13 @@
     }
 
     private fun advanceAsking(asking: Phase.Asking, nowMillis: Long) {
-        if (trigger.reason(nowMillis) != FailoverReason.PRIMARY_UNREACHABLE) return stop(Phase.Idle())
+        if (trigger.reason(nowMillis) != FailoverReason.PRIMARY_UNREACHABLE) return setPhase(Phase.Idle())
         val tally = asking.tally
         if (!tally.isComplete(nowMillis, settings)) return
         silentAsks = if (tally.isSilent) silentAsks + 1 else 0
         val isAlone = !tally.any(PrimaryReach.FAILING) && (!tally.isSilent || silentAsks >= settings.loneAsks)
         when {
-            tally.any(PrimaryReach.REACHED) -> stop(Phase.Idle(nowMillis + settings.askTimeoutMillis))
+            tally.any(PrimaryReach.REACHED) -> setPhase(Phase.Idle(nowMillis + settings.askTimeoutMillis))
             tally.any(PrimaryReach.SUSPECTED) -> stagger(tally.suspecting(), nowMillis)
             isAlone && trigger.isQuiet(nowMillis) -> stagger(emptyList(), nowMillis)
             nowMillis - asking.askedAtMillis >= settings.askRetryMillis -> ask(nowMillis)
@@ -177,7 +172,7 @@
     private fun rankOf(peer: HostId): Int = "${monitor.database}/${monitor.term}/$peer".hashCode()
 
     private fun advanceStaggering(staggering: Phase.Staggering, nowMillis: Long) {
-        if (trigger.reason(nowMillis) != staggering.reason) return stop(Phase.Idle())
+        if (trigger.reason(nowMillis) != staggering.reason) return setPhase(Phase.Idle())
         if (nowMillis < staggering.untilMillis) return
         val fenced = monitor.reachableReports().maxOfOrNull { it.status.fenceTerm } ?: 0
         val term = maxOf(monitor.term, highestTerm, fenced) + 1
@@ -220,12 +215,11 @@
     private fun backOff(seenTerm: Long, nowMillis: Long) {
         highestTerm = maxOf(highestTerm, seenTerm)
         val delayMillis = random.nextLong(settings.backoffMinMillis, settings.backoffMaxMillis)
-        stop(Phase.Idle(nowMillis + delayMillis))
+        setPhase(Phase.Idle(nowMillis + delayMillis))
     }
 
-    private fun stop(idle: Phase.Idle) {
-        phase = idle
-        attempt = null
+    private fun setPhase(next: Phase) {
+        phase = next
     }
 
     /** Tells targets that do not follow the primary of the current term to do so, an old primary included. */
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverReason.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/failover/FailoverReason.kt
@@ -1,7 +1,7 @@
 package dev.cardamomlane.core.failover
 
 /** Why a group needs a new term. */
-public enum class FailoverReason {
+internal enum class FailoverReason {
     /** The primary answers neither on existing nor on new connections. */
     PRIMARY_UNREACHABLE,
 
@@ -19,10 +19,10 @@
     ;
 
     /** Whether the primary of the last term is chosen again only if no majority does without it. */
-    internal val avoidsPrimary: Boolean
+    val avoidsPrimary: Boolean
         get() = this == PRIMARY_UNREACHABLE || this == REPLICATION_STALLED || this == PRIMARY_LEAVING
 
     /** Whether the group works in the meantime, so that repeated attempts must be kept apart. */
-    internal val isLimited: Boolean
+    val isLimited: Boolean
         get() = this != HEADLESS
 }
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/group/FloorAsks.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/group/FloorAsks.kt
@@ -11,9 +11,6 @@
 internal class FloorAsks {
     private val waiting = ArrayDeque<FloorAsk>()
 
-    val isEmpty: Boolean
-        get() = waiting.isEmpty()
-
     fun add(firstRound: Long, onFloor: (LogPosition) -> Unit) {
         waiting.addLast(FloorAsk(firstRound, onFloor))
     }
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/group/GroupMonitor.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/group/GroupMonitor.kt
@@ -49,10 +49,6 @@
     public var table: RoutingTable = buildTable()
         private set
 
-    /** Whether sessions wait for the next round. */
-    public val isFloorAsked: Boolean
-        get() = !floorAsks.isEmpty
-
     /** Starts a round. Polls of the round must be sent after this call. */
     public fun beginRound(nowMillis: Long): PollRound = PollRound(++rounds, nowMillis)
 
