Stand-in: a rebuild keeps control connections

A follow that dropped a divergent tail also closed the control connection that had asked for it, so its answer was lost now and then (FailoverTest failed once in a loaded run).

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/target/ReplicationLoop.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/target/ReplicationLoop.kt
@@ -12,7 +12,7 @@
  * Receives the primary's log for one target and applies it after the target's lag, on a thread of its own.
  *
  * A replica whose log differs from the primary's drops its own tail; when the tail was applied already, its data are
- * built anew from the common prefix and its connections are closed.
+ * built anew from the common prefix and its connections are closed, control connections aside.
  */
 internal class ReplicationLoop(private val target: Target) : AutoCloseable {
     private val state = target.state
@@ -118,7 +118,8 @@
     }
 
     private fun rebuildEngine() {
-        target.dropSessions { true }
+        // Control connections stay, because the one that asked for this still waits for its answer.
+        target.dropSessions { !it.isControl }
         val old = target.engine
         target.group.locked { state.markApplied(0) }
         target.engine = SqlEngine(target.name)
