--- /dev/null
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/platform/DynamoAdapterTest.kt
@@ -0,0 +1,70 @@
+package dev.cardamomlane.standin.platform
+
+import dev.cardamomlane.platform.ConditionalWrite
+import dev.cardamomlane.platform.DynamoPlatformTable
+import dev.cardamomlane.platform.DynamoSettings
+import dev.cardamomlane.platform.PlatformUnavailableException
+import dev.cardamomlane.platform.Row
+import dev.cardamomlane.platform.WriteOutcome
+import dev.cardamomlane.standin.settings.SocketAddress
+import kotlinx.collections.immutable.persistentListOf
+import java.net.URI
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+
+/** The adapter that daemons use, against the table of the stand-in. */
+class DynamoAdapterTest {
+    private val server = PlatformServer(
+        SocketAddress("127.0.0.1", 0),
+        TableService("t"),
+        HostListService(emptyList(), lagMillis = 0),
+        PlatformFaults(),
+    ).apply { start() }
+    private val table = DynamoPlatformTable(DynamoSettings(URI("http://${server.address}"), "t", "local", "a", "s"))
+
+    @AfterTest
+    fun close() {
+        table.close()
+        server.close()
+    }
+
+    @Test
+    fun `writes, reads and deletes by version`() {
+        assertEquals(WriteOutcome.Applied, write("1", ConditionalWrite("p/a", 0, "{}")))
+        assertEquals(Row("p/a", 1, "{}"), table.get("p/a").block())
+        assertEquals(WriteOutcome.Conflict(persistentListOf("p/a")), write("2", ConditionalWrite("p/a", 0, "{}")))
+        assertEquals(WriteOutcome.Applied, write("3", ConditionalWrite("p/a", 1, null)))
+        assertEquals(null, table.get("p/a").block())
+    }
+
+    @Test
+    fun `scans more rows than fit one page`() {
+        val large = "x".repeat(300_000)
+        for (name in 1..5) write("$name", ConditionalWrite("p/r/$name", 0, large))
+
+        assertEquals(5, table.scan("p/r/").count().block())
+    }
+
+    @Test
+    fun `a lost answer leaves the write in effect and its token repeatable`() {
+        val write = ConditionalWrite("p/a", 0, "{}")
+        server.faults.loseAnswers(1)
+
+        assertFailsWith<PlatformUnavailableException> { write("1", write) }
+        assertEquals(WriteOutcome.Applied, write("1", write))
+        assertEquals(1, table.get("p/a").block()?.version)
+    }
+
+    @Test
+    fun `an outage has no effect`() {
+        server.faults.startOutage(millis = null)
+        assertFailsWith<PlatformUnavailableException> { write("1", ConditionalWrite("p/a", 0, "{}")) }
+        server.faults.heal()
+
+        assertEquals(null, table.get("p/a").block())
+    }
+
+    private fun write(token: String, write: ConditionalWrite): WriteOutcome? = table.write(listOf(write), token).block()
+}
