--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/Lanebench.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/Lanebench.kt
@@ -17,6 +17,7 @@
         BenchCommand::class,
         ChaosCommand::class,
         ControlCommand::class,
+        FleetcheckCommand::class,
         LimitsCommand::class,
         QueueCommand::class,
         QuickstartCommand::class,
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetEvent.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetEvent.kt
@@ -19,8 +19,8 @@
     /** The platform answered a scan of the leases. */
     public data class LeasesRead(val leases: ImmutableList<LeaseRow>) : FleetEvent
 
-    /** The renewal of this host's lease was refused because another run on this host took the lease over. */
-    public data object LeaseTaken : FleetEvent
+    /** This run ended for good: it stops, or another run on this host took its lease over. */
+    public data object Ended : FleetEvent
 
     /** The content of a revision arrived. */
     public data class RevisionLoaded(val configuration: Configuration) : FleetEvent
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetMachine.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/FleetMachine.kt
@@ -79,7 +79,7 @@
             FleetEvent.PlatformFailed -> polling.failed(nowMillis)
             is FleetEvent.ControlWriteEnded -> onControlWriteEnded(event)
             is FleetEvent.LeasesRead -> leases.read(event.leases, nowMillis)
-            FleetEvent.LeaseTaken -> isOver = true
+            FleetEvent.Ended -> isOver = true
             is FleetEvent.RevisionLoaded -> slots.load(event.configuration)
             is FleetEvent.Question -> onQuestion(event, nowMillis, actions)
             is FleetEvent.Answer -> onAnswer(event, nowMillis, actions)
--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/fleet/SimFleet.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/fleet/SimFleet.kt
@@ -168,7 +168,7 @@
 
         private fun renew(): FleetEvent {
             val earlier = leases[id.host]
-            if (earlier != null && earlier.member.id.incarnation > id.incarnation) return FleetEvent.LeaseTaken
+            if (earlier != null && earlier.member.id.incarnation > id.incarnation) return FleetEvent.Ended
             leases[id.host] = LeaseRow(self, (earlier?.rowVersion ?: 0) + 1, isRetired = false)
             return FleetEvent.ControlWriteEnded(null)
         }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/RealFleet.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/RealFleet.kt
@@ -101,7 +101,7 @@
         beats?.cancel()
         lock.withLock {
             book.returnAll(timers.nowMillis())
-            onEvent(FleetEvent.LeaseTaken)
+            onEvent(FleetEvent.Ended)
         }
         lease.retire().then().onErrorComplete().doFinally { links.stop() }
     }
@@ -174,7 +174,7 @@
 
     private fun onLeaseTaken() {
         Logger.warn { "fleet: another run of ${self.id.host} took the lease over, this one stops serving" }
-        onEvent(FleetEvent.LeaseTaken)
+        onEvent(FleetEvent.Ended)
     }
 
     private fun loadRevision(action: FleetAction.LoadRevision) {
