--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/Standin.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/Standin.kt
@@ -16,12 +16,12 @@
 
 /** Everything that one process plays: all targets of all database groups, and the platform. */
 public class Standin(settings: StandinSettings, random: Random = Random.Default) : AutoCloseable {
-    private val light: ExecutorService = Executors.newFixedThreadPool(LIGHT_THREADS) { work ->
-        Thread(work, "light").apply { isDaemon = true }
+    private val slotless: ExecutorService = Executors.newFixedThreadPool(SLOTLESS_THREADS) { work ->
+        Thread(work, "slotless").apply { isDaemon = true }
     }
     internal val groups: List<DatabaseGroup> = settings.databases.map(::DatabaseGroup)
     private val servers: List<TargetServer> =
-        groups.flatMap { group -> group.targets.map { TargetServer(it, light, random) } }
+        groups.flatMap { group -> group.targets.map { TargetServer(it, slotless, random) } }
     private val platform = PlatformServer(
         configured = SocketAddress.parse(settings.platformAddress),
         table = TableService(settings.table),
@@ -30,7 +30,7 @@
     )
     private val rows = settings.rows
     private val admin =
-        AdminServer(SocketAddress.parse(settings.adminAddress), servers, platform, Schedulers.fromExecutor(light))
+        AdminServer(SocketAddress.parse(settings.adminAddress), servers, platform, Schedulers.fromExecutor(slotless))
 
     /** How many targets are played. */
     public val targetCount: Int get() = servers.size
@@ -64,6 +64,6 @@
     }
 
     private companion object {
-        const val LIGHT_THREADS = 16
+        const val SLOTLESS_THREADS = 16
     }
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/session/Session.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/session/Session.kt
@@ -16,17 +16,17 @@
 /**
  * One client's session on a target. It works through one [MessageGroup] at a time and answers with whole buffers.
  *
- * @param light runs work that takes no slot
+ * @param slotless runs work that takes no slot
  * @param close closes the connection
  */
 internal class Session(
     private val target: Target,
     val settings: SessionSettings,
     override val isControl: Boolean,
-    private val light: Executor,
+    private val slotless: Executor,
     private val close: () -> Unit,
 ) : TargetSession {
-    private val control = ControlFunction(target, light)
+    private val control = ControlFunction(target, slotless)
     private val connection = target.engine.connect().apply { autoCommit = false }
     private val runner = StatementRunner(target, connection, settings, control)
     private val extended = ExtendedProtocol(runner, connection, ::writeReportedSettings)
@@ -79,7 +79,7 @@
             first && !busy
         }
         target.sessions.remove(this)
-        if (idle) light.execute(::release)
+        if (idle) slotless.execute(::release)
     }
 
     private fun submit(takesSlot: Boolean, work: (ByteBuf) -> Unit): CompletableFuture<ByteBuf> {
@@ -90,7 +90,7 @@
         ) {
             target.slots.submit(guarded)
         } else {
-            CompletableFuture.supplyAsync(guarded, light)
+            CompletableFuture.supplyAsync(guarded, slotless)
         }
     }
 
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/session/TargetServer.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/session/TargetServer.kt
@@ -12,7 +12,7 @@
 import kotlin.random.Random
 
 /** Accepts clients of one target. While the target is crashed its address refuses connections. */
-internal class TargetServer(val target: Target, private val light: Executor, private val random: Random) :
+internal class TargetServer(val target: Target, private val slotless: Executor, private val random: Random) :
     AutoCloseable {
     private val cancelKeys = ConcurrentHashMap<CancelKey, Session>()
     private val nextProcessId = AtomicInteger()
@@ -53,7 +53,7 @@
     /** Opens a session, or throws an [SqlFailure] that refuses it. */
     fun open(settings: SessionSettings, close: () -> Unit): Session {
         val control = settings["application_name"] == CONTROL_APPLICATION
-        val session = Session(target, settings, control, light, close)
+        val session = Session(target, settings, control, slotless, close)
         target.sessions += session
         refusal(control)?.let { refusal ->
             session.end()
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/target/Target.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/target/Target.kt
@@ -25,7 +25,7 @@
     private val waiters = ConfirmWaiters()
     private val replication = ReplicationLoop(this)
 
-    // Taken for writing by a definition, so that no commit comes between its effect and its log record.
+    // A definition holds it for writing, so that no commit comes between the definition's effect and its log record.
     private val definitionLock = ReentrantReadWriteLock()
 
     @Volatile
@@ -56,7 +56,7 @@
                     capture.collect { connection.createStatement().use { it.execute(sql) } }
                     check(commit(connection, capture) == CommitOutcome.COMMITTED) { "initial statement refused: $sql" }
                 } else {
-                    define(connection, sql)
+                    check(define(connection, sql)) { "initial statement refused: $sql" }
                 }
             }
         }
