Core: rule reader in even steps

Cause: read again as a newcomer. Change: the tables of a rule are read by a function of their own, as databases and customers are.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/rules/RuleReader.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/rules/RuleReader.kt
@@ -34,11 +34,7 @@
             Rule(
                 name = name.text,
                 databases = databases().ifEmpty { listOf(DatabasePattern.ANY) }.toImmutableList(),
-                tables = criteria.list(
-                    "table",
-                    "a table name in lower case",
-                    ::table,
-                ).toImmutableList(),
+                tables = tables().toImmutableList(),
                 customers = customers().toImmutableList(),
                 marker = criteria.value("marker", "letters, digits, dashes and underscores", ::marker),
                 access = access,
@@ -70,7 +66,9 @@
         return customers
     }
 
-    private fun table(text: String): String? = text.takeIf { TABLE.matches(it) && it == it.lowercase() }
+    private fun tables(): List<String> = criteria.list("table", "a table name in lower case") { text ->
+        text.takeIf { TABLE.matches(it) && it == it.lowercase() }
+    }
 
     private fun marker(text: String): String? = text.takeIf { MARKER.matches(it) }
 
@@ -97,10 +95,7 @@
 
     private fun checkOpen(rule: Rule, open: Word) {
         if (rule.customers.isNotEmpty()) {
-            add(
-                open.place,
-                "an open rule covers callers without a key, so name no customer",
-            )
+            add(open.place, "an open rule covers callers without a key, so name no customer")
         }
         if (rule.tables.isEmpty() || rule.access != StatementAccess.READ) {
             add(open.place, "an open rule needs statement=read and table=..., because anyone can send its marker")
