--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/history/Violation.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/history/Violation.kt
@@ -10,6 +10,6 @@
     override fun toString(): String = "$check: $message" + operations.take(MAX_SHOWN).joinToString("") { "\n    $it" }
 
     private companion object {
-        const val MAX_SHOWN = 12
+        const val MAX_SHOWN = 4
     }
 }
--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/history/WholeTransactions.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/history/WholeTransactions.kt
@@ -15,15 +15,21 @@
         return Violation(NAME, "only $present of ${transaction.statements} are there", listOf(transaction))
     }
 
+    /** One violation for each transaction that reads saw in part, with the reads. */
     private fun readViolations(history: History, transactions: List<Operation>): List<Violation> {
         val byStatement = transactions.flatMap { t -> t.statements.map { it to t } }.toMap()
-        return history.operations.filter { it.kind == OperationKind.READ }.flatMap { read ->
-            val seen = read.seen.mapTo(HashSet()) { History.statementOf(it) }
-            seen
-                .mapNotNull { byStatement[it] }
-                .distinct()
-                .filterNot { seen.containsAll(it.statements) }
-                .map { Violation(NAME, "a read saw part of ${it.statements}", listOf(it, read)) }
-        }
+        return history.operations
+            .filter { it.kind == OperationKind.READ }
+            .flatMap { read -> seenInPart(read, byStatement).map { it to read } }
+            .groupBy({ it.first }, { it.second })
+            .map { (transaction, reads) ->
+                val message = "${reads.size} reads saw part of ${transaction.statements}"
+                Violation(NAME, message, listOf(transaction) + reads)
+            }
+    }
+
+    private fun seenInPart(read: Operation, byStatement: Map<String, Operation>): List<Operation> {
+        val seen = read.seen.mapTo(HashSet()) { History.statementOf(it) }
+        return seen.mapNotNull { byStatement[it] }.distinct().filterNot { seen.containsAll(it.statements) }
     }
 }
