--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ToolSettings.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ToolSettings.kt
@@ -4,6 +4,8 @@
 import com.charleskorn.kaml.YamlConfiguration
 import com.charleskorn.kaml.YamlException
 import dev.cardamomlane.platform.DynamoSettings
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.MissingFieldException
 import kotlinx.serialization.Serializable
 import java.io.IOException
 import java.net.URI
@@ -29,8 +31,11 @@
         private const val TIMEOUT_MILLIS = 5_000L
         private val yaml = Yaml(configuration = YamlConfiguration(strictMode = false))
 
+        @OptIn(ExperimentalSerializationApi::class)
         fun read(file: Path): ToolSettings = try {
             yaml.decodeFromString(serializer(), file.readText()).also { it.platform.dynamo() }
+        } catch (e: MissingFieldException) {
+            throw CommandFailure(ExitCodes.USAGE, "$file: missing: ${e.missingFields.joinToString()}")
         } catch (e: YamlException) {
             throw CommandFailure(ExitCodes.USAGE, "$file:${e.line}:${e.column}: ${e.message}")
         } catch (e: IOException) {
