Daemon: retry budget and silence probe of the core decide in the data path

Cause: the data path had rules of its own for lost attempts. Change: outcomeOf, RetryBudget and SilenceProbe of core.retry are asked; the stall test waits for the end of the connection in place of a fixed time, since it hung for 10 minutes on a machine at load 30 when the answer had not begun after the pause. Conclusion: one set of rules.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptListener.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptListener.kt
@@ -8,9 +8,12 @@
     /** The caller has the whole answer. */
     fun onAnswered()
 
-    /** The unit may be sent again: it did not run, or its rule allows it. The caller has seen nothing. */
+    /** The unit did not run. The caller has seen nothing. */
     fun onNotRun(target: TargetId, exclude: Boolean)
 
+    /** The unit may have run and its rule allows it to run again. The caller has seen nothing. */
+    fun onRepeatable(target: TargetId, reason: String)
+
     /** The unit ends with [error]. */
     fun onFailed(error: ServerError)
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptWatch.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptWatch.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.daemon.caller
 
+import dev.cardamomlane.core.retry.SilenceProbe
 import dev.cardamomlane.daemon.target.ConnectionState
 import java.io.IOException
 import java.util.concurrent.TimeoutException
@@ -14,8 +15,8 @@
     val sentAtMillis: Long = services.timers.nowMillis()
     private var confirmingSinceMillis = 0L
     private var fullSinceMillis: Long? = null
-    private var nextProbeMillis = sentAtMillis + SILENCE_MILLIS
-    private var isProbing = false
+    private val silence = SilenceProbe(sentAtMillis)
+    private var heardAtMillis = sentAtMillis
     private var ended = false
 
     fun onTick(nowMillis: Long, isConfirming: Boolean) {
@@ -27,7 +28,7 @@
             isConfirming -> if (nowMillis - confirmingSinceMillis > confirmLimitMillis()) {
                 connection.abort(TimeoutException("no confirmation came"))
             }
-            nowMillis - connection.lastHeardMillis > SILENCE_MILLIS -> probe(nowMillis)
+            else -> watchSilence(nowMillis)
         }
     }
 
@@ -61,22 +62,22 @@
     }
 
     /** Asks on a new connection whether the target still works on this one. */
-    private fun probe(nowMillis: Long) {
-        if (isProbing || nowMillis < nextProbeMillis) return
-        isProbing = true
+    private fun watchSilence(nowMillis: Long) {
+        if (connection.lastHeardMillis > heardAtMillis) {
+            heardAtMillis = connection.lastHeardMillis
+            silence.onHeard(heardAtMillis)
+        }
+        if (!silence.wantsProbe(nowMillis)) return
         services.probe.check(place.lane.target, connection.processId).subscribe { state -> onProbed(state) }
     }
 
     private fun onProbed(state: ConnectionState) {
-        isProbing = false
-        nextProbeMillis = services.timers.nowMillis() + SILENCE_MILLIS
-        if (ended || state == ConnectionState.ACTIVE) return
-        val heardMeanwhile = services.timers.nowMillis() - connection.lastHeardMillis < SILENCE_MILLIS
-        if (!heardMeanwhile) connection.abort(IOException("the connection is silent (${state.name.lowercase()})"))
+        val works = state == ConnectionState.ACTIVE
+        val isSilent = silence.onProbed(works, services.timers.nowMillis())
+        if (isSilent && !ended) connection.abort(IOException("the connection is silent (${state.name.lowercase()})"))
     }
 
     private companion object {
-        const val SILENCE_MILLIS = 1_000L
         const val CONFIRM_SLACK_MILLIS = 500L
     }
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerServices.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerServices.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.HostId
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.retry.RetryBudget
 import dev.cardamomlane.daemon.FleetGate
 import dev.cardamomlane.daemon.GroupDirectory
 import dev.cardamomlane.daemon.settings.CallerSettings
@@ -23,6 +24,7 @@
     val tracer: Tracer,
 ) {
     val facts = FactsCache()
+    val retries = RetryBudget()
     val runs = LinkedHashSet<UnitRun>()
     private var lastTicket = 0L
 
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
@@ -4,6 +4,9 @@
 import dev.cardamomlane.core.group.PositionAnswer
 import dev.cardamomlane.core.group.TargetRole
 import dev.cardamomlane.core.group.isFreshEnough
+import dev.cardamomlane.core.retry.AttemptFacts
+import dev.cardamomlane.core.retry.AttemptOutcome
+import dev.cardamomlane.core.retry.outcomeOf
 import dev.cardamomlane.daemon.TargetEvent
 import dev.cardamomlane.daemon.target.ClientSegment
 import dev.cardamomlane.daemon.target.ClientSink
@@ -139,16 +142,25 @@
         hold.drop()
         if (state != State.RUNNING) return
         if (place.transaction != null) loseTransaction()
-        val mayRepeat = place.transaction == null && !hold.hasPassed && (isRetried || isStale || plan.isRepeatable)
         end {
-            if (mayRepeat) {
-                listener.onNotRun(target, exclude = true)
-            } else {
-                listener.onFailed(Refusals.outcomeUnknown("the connection to the target was lost"))
+            when (outcomeOf(facts())) {
+                AttemptOutcome.NOT_RUN -> listener.onNotRun(target, exclude = true)
+                AttemptOutcome.REPEAT -> listener.onRepeatable(target, CONNECTION_LOST)
+                AttemptOutcome.UNKNOWN, AttemptOutcome.TRANSACTION_LOST ->
+                    listener.onFailed(Refusals.outcomeUnknown(CONNECTION_LOST))
             }
         }
     }
 
+    private fun facts() = AttemptFacts(
+        sent = true,
+        refusedByTarget = isRetried,
+        discardedAsStale = isStale,
+        repeatable = plan.isRepeatable,
+        inTransaction = place.transaction != null,
+        answered = hold.hasPassed,
+    )
+
     private fun onPosition(answer: PositionAnswer) {
         val use = place.use ?: return
         session.group.observe(TargetEvent.Applied(use.target, answer.applied))
@@ -266,5 +278,6 @@
 
     private companion object {
         const val READ_ONLY_STATE = "25006"
+        const val CONNECTION_LOST = "the connection to the target was lost"
     }
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitRun.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitRun.kt
@@ -44,6 +44,7 @@
 
     fun start() {
         services.runs += this
+        services.retries.onRequest()
         val refusal = UnitChecks.refusal(session, plan)
         if (refusal != null) refuse(refusal) else admit()
     }
@@ -203,6 +204,11 @@
         routeLater("no target took the statement", millis = 1) { route() }
     }
 
+    override fun onRepeatable(target: TargetId, reason: String) {
+        if (services.retries.tryRetry()) return onNotRun(target, exclude = true)
+        onFailed(Refusals.outcomeUnknown("$reason, and too many statements are being repeated"))
+    }
+
     override fun onFailed(error: ServerError) {
         attempt = null
         refuse(error)
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/PathFixture.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/PathFixture.kt
@@ -79,14 +79,19 @@
         return Daemon(SettingsReader.read("host-$index.yaml", text).getOrElse { error(it.joinToString("\n")) })
     }
 
-    private fun awaitReady(daemon: Int) {
-        val request = HttpRequest.newBuilder(URI("http://127.0.0.1:${ports[daemon * PORTS_EACH + 2]}/ready")).build()
-        repeat(READY_TRIES) {
-            val answer = http.send(request, HttpResponse.BodyHandlers.ofString())
-            if (answer.statusCode() == HTTP_OK) return
-            Thread.sleep(READY_WAIT_MILLIS)
+    /** Waits until the daemon has [count] connections of callers. */
+    fun awaitConnections(daemon: Int, count: Int) =
+        await(daemon, "/status") { "\"connections\":$count," in it.body() }
+
+    private fun awaitReady(daemon: Int) = await(daemon, "/ready") { it.statusCode() == HTTP_OK }
+
+    private fun await(daemon: Int, path: String, condition: (HttpResponse<String>) -> Boolean) {
+        val request = HttpRequest.newBuilder(URI("http://127.0.0.1:${ports[daemon * PORTS_EACH + 2]}$path")).build()
+        repeat(MAX_TRIES) {
+            if (condition(http.send(request, HttpResponse.BodyHandlers.ofString()))) return
+            Thread.sleep(WAIT_MILLIS)
         }
-        error("daemon $daemon did not become ready")
+        error("$path of daemon $daemon never answered as expected")
     }
 
     private fun standinSettings() = StandinSettings(
@@ -129,8 +134,8 @@
         private const val FREE_PORT = "127.0.0.1:0"
         private const val KEY = "key-1"
         private const val PORTS_EACH = 3
-        private const val READY_TRIES = 600
-        private const val READY_WAIT_MILLIS = 50L
+        private const val MAX_TRIES = 1_200
+        private const val WAIT_MILLIS = 50L
         private const val HTTP_OK = 200
         private val RULES = """
             rule read database=orders-1 statement=read table=notes : class=3 age=5s repeatable # test
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/StopAndStallTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/StopAndStallTest.kt
@@ -40,7 +40,8 @@
                     it.execute("INSERT INTO notes(id, body) VALUES ('big', '${"x".repeat(1 shl 20)}')")
                 }
                 Socket("127.0.0.1", path.callerPort(0)).use { socket ->
-                    askForManyRows(socket.getOutputStream())
+                    askForManyRows(socket)
+                    path.awaitConnections(daemon = 0, count = 1)
                     assertTrue(readToEnd(socket) < ROWS.toLong() shl 20, "the whole answer came")
                 }
                 assertEquals(
@@ -74,24 +75,26 @@
     private fun runUntilTold(connection: Connection, caller: Int, started: CountDownLatch): String {
         try {
             connection.createStatement().use { statement ->
-                var count = 0
-                while (true) {
-                    statement.executeUpdate("INSERT INTO notes(id) VALUES ('$caller-${count++}')")
-                    if (count == 1) started.countDown()
-                }
+                statement.executeUpdate("INSERT INTO notes(id) VALUES ('$caller-first')")
+                started.countDown()
+                generateSequence(0) { it + 1 }
+                    .forEach { statement.executeUpdate("INSERT INTO notes(id) VALUES ('$caller-$it')") }
             }
+            error("the daemon never told the caller to go")
         } catch (error: PSQLException) {
             return "${error.sqlState} ${error.serverErrorMessage?.detail}"
         }
     }
 
-    private fun askForManyRows(output: OutputStream) {
+    /** Asks for far more than the buffers on the way hold, and reads nothing of it. */
+    private fun askForManyRows(socket: Socket) {
+        val output = socket.getOutputStream()
         val startup = mapOf("user" to "press", "database" to "orders-1")
         send(output, StartupMessage.writeSession(Unpooled.buffer(), startup))
+        assertEquals('R'.code, socket.getInputStream().read())
         send(output, FrontendWriter.password(Unpooled.buffer(), "key-1"))
         val sql = "SELECT n.body FROM notes n, system_range(1, $ROWS) WHERE n.id = 'big'"
         send(output, FrontendWriter.query(Unpooled.buffer(), sql))
-        Thread.sleep(STALL_MILLIS)
     }
 
     private fun send(output: OutputStream, message: ByteBuf) {
@@ -112,6 +115,5 @@
     private companion object {
         const val CALLERS = 8
         const val ROWS = 64
-        const val STALL_MILLIS = 1_500L
     }
 }
