Daemon: a lost transaction stays lost until its caller ends it

Likewise a statement refused inside a transaction left the rest of it to commit. Ruled out: mixed connections, since every half transaction had a lost BEGIN in its history. Change: after such an error the session answers 25P02 not run, as a server does, until COMMIT or ROLLBACK, which it answers ROLLBACK itself. A caller that does not read, and a target given up, are closed at once: close() waited for bytes that nobody takes (the stall test then waited for ever). Measured: the new cases in both query modes pass; the lost BEGIN case failed before.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptWatch.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptWatch.kt
@@ -58,7 +58,7 @@
 
     private fun dropCaller() {
         connection.abort(TimeoutException("the caller does not read"))
-        session.link.close()
+        session.link.abort()
     }
 
     /** Asks on a new connection whether the target still works on this one. */
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerSession.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerSession.kt
@@ -39,8 +39,13 @@
 
     var transaction: PinnedTransaction? = null
 
+    /** Whether a transaction of the caller is lost. Nothing runs until the caller ends it. */
+    var isAborted = false
+        private set
+
     val status: TransactionStatus
         get() = when {
+            isAborted -> TransactionStatus.FAILED
             transaction == null -> TransactionStatus.IDLE
             transaction?.failed == true -> TransactionStatus.FAILED
             else -> TransactionStatus.OPEN
@@ -94,6 +99,25 @@
         link.send(BackendWriter.readyForQuery(out, status))
     }
 
+    /**
+     * Gives up the caller's transaction, as a server does after an error. Statements that the caller sent on without
+     * waiting must not run outside it.
+     */
+    fun abortTransaction() {
+        transaction?.let { TransactionEnd.rollBack(it) }
+        transaction = null
+        parameters.onTransactionEnd(committedChanges = false)
+        isAborted = true
+    }
+
+    /** Takes the end of an aborted transaction and answers the unit that asked for it. */
+    fun endAborted(unit: StatementUnit) {
+        isAborted = false
+        val out = link.allocator.buffer()
+        AbortedAnswer.write(out, unit)
+        link.send(BackendWriter.readyForQuery(out, status))
+    }
+
     fun tellPosition(position: LogPosition) {
         val out = link.allocator.buffer()
         link.send(BackendWriter.parameterStatus(out, POSITION_PARAMETER, position.toString()))
@@ -113,7 +137,7 @@
 
     private fun runNext() {
         if (running != null || ended) return
-        if (draining && transaction == null) return fail(Refusals.draining())
+        if (draining && transaction == null && !isAborted) return fail(Refusals.draining())
         val unit = inbox.removeFirstOrNull() ?: return
         val rules = services.gate.configuration()?.rules
         if (rules == null) {
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/Refusals.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/Refusals.kt
@@ -39,6 +39,8 @@
 
     fun tooManyConnections() = notRun("53300", "this host has too many connections", severity = "FATAL")
 
+    fun aborted() = notRun("25P02", "the transaction is aborted, statements are ignored until its end")
+
     fun cancelled() = notRun("57014", "the statement was cancelled before it started")
 
     fun outcomeUnknown(reason: String) = ServerError("08007", reason, detail = OUTCOME_UNKNOWN)
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
@@ -243,7 +243,13 @@
 
     private fun loseTransaction() {
         session.transaction = null
-        session.parameters.onTransactionEnd(committedChanges = false)
+        if (plan.endsTransaction) {
+            session.parameters.onTransactionEnd(
+                committedChanges = false,
+            )
+        } else {
+            session.abortTransaction()
+        }
     }
 
     /** Returns the connection once no answer on it is open. */
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitChecks.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitChecks.kt
@@ -12,6 +12,7 @@
         val key = session.identity.key
         if (key != null && !configuration.keys.isLive(session.identity.customer, key)) return Refusals.badKey()
         if (key == null && !plan.decision.open) return Refusals.keyNeeded()
+        if (session.isAborted) return Refusals.aborted()
         return plan.unsupportedReason?.let { Refusals.unsupported(it) }
     }
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitPlan.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitPlan.kt
@@ -21,6 +21,12 @@
     val rollsBack: Boolean,
     val unsupportedReason: String?,
 ) {
+    /** Whether the unit leaves a transaction open. */
+    val opensTransaction: Boolean get() = begins && !endsTransaction
+
+    /** Whether the unit ends the transaction that it runs in. */
+    val endsTransaction: Boolean get() = commits || rollsBack
+
     /** Whether the unit may be sent again when it is not known to have run. */
     val isRepeatable: Boolean get() = decision.repeatable && !begins && !commits
 
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitRun.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitRun.kt
@@ -46,7 +46,14 @@
         services.runs += this
         services.retries.onRequest()
         val refusal = UnitChecks.refusal(session, plan)
-        if (refusal != null) refuse(refusal) else admit()
+        when {
+            session.isAborted && plan.endsTransaction -> {
+                session.endAborted(unit)
+                onAnswered()
+            }
+            refusal != null -> refuse(refusal)
+            else -> admit()
+        }
     }
 
     /** Gives up for a caller that has gone. What runs on a target ends there, and its answer is dropped. */
@@ -218,6 +225,7 @@
         if (ended) return
         leaveQueue()
         finish(error.sqlState)
+        if (session.transaction != null || plan.opensTransaction) session.abortTransaction()
         session.answer(error)
         session.onRunEnded()
     }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetConnection.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetConnection.kt
@@ -59,7 +59,7 @@
 
     /** Ends the connection from this side at once; open segments are told that it is lost. */
     fun abort(cause: Throwable) {
-        session.link.close()
+        session.link.abort()
         onClosed(cause)
     }
 
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/UnitOutcomeTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/UnitOutcomeTest.kt
@@ -123,6 +123,22 @@
         }
     }
 
+    @Test
+    fun `statements sent behind a lost BEGIN run nowhere until the transaction ends`() {
+        val one = FakeTarget { sql -> if (sql == "BEGIN") FakeTarget.Answer.Close else done }
+        DataPathFixture(one, target(done)).use { path ->
+            path.connect().use { connection ->
+                connection.autoCommit = false
+                assertEquals(UNKNOWN, run(connection, WRITE))
+                assertEquals("25P02 not run", run(connection, WRITE))
+                connection.rollback()
+                connection.autoCommit = true
+                assertEquals("1", run(connection, WRITE))
+            }
+        }
+        assertEquals(listOf("BEGIN", WRITE), one.statements)
+    }
+
     @Test
     fun `refusals of the fleet reach no target`() {
         val one = target(rows)
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/PathFixture.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/PathFixture.kt
@@ -80,8 +80,7 @@
     }
 
     /** Waits until the daemon has [count] connections of callers. */
-    fun awaitConnections(daemon: Int, count: Int) =
-        await(daemon, "/status") { "\"connections\":$count," in it.body() }
+    fun awaitConnections(daemon: Int, count: Int) = await(daemon, "/status") { "\"connections\":$count," in it.body() }
 
     private fun awaitReady(daemon: Int) = await(daemon, "/ready") { it.statusCode() == HTTP_OK }
 
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/WholePathTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/WholePathTest.kt
@@ -82,6 +82,20 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = [SIMPLE, EXTENDED])
+    fun `a refusal inside a transaction aborts it`(mode: String) {
+        val id = newId()
+        path.connect(0, mode).use { connection ->
+            connection.autoCommit = false
+            connection.insert(id)
+            assertEquals("0A000", assertFailsWith<PSQLException> { connection.text("LISTEN news") }.sqlState)
+            assertEquals("25P02", assertFailsWith<PSQLException> { connection.insert("$id-2") }.sqlState)
+            connection.rollback()
+            assertEquals(0, connection.count(id))
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = [SIMPLE, EXTENDED])
     fun `a query timeout cancels the statement on the target`(mode: String) {
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/MessageLink.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/MessageLink.kt
@@ -33,4 +33,7 @@
 
     /** Closes after all sent frames are written. Calling it again has no effect. */
     public fun close()
+
+    /** Closes at once and drops what is not written yet, for a far end that does not read. */
+    public fun abort()
 }
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/RealMessageLink.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/RealMessageLink.kt
@@ -50,6 +50,10 @@
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
     }
 
+    override fun abort() {
+        channel.close()
+    }
+
     private class Reader : BaseSubscriber<ByteBuf>() {
         var listener: MessageListener? = null
         var paused = false
