Daemon: the path fixture waits until both hosts are members

Cause: the stop test hung when a caller was refused before its first write, seen once, while the record of members grew. Change: the fixture waits for both members, and a refused caller ends the wait so that the assertion tells. Conclusion: the verdict no longer depends on the moment.

--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/PathFixture.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/PathFixture.kt
@@ -31,6 +31,7 @@
 
     init {
         daemons.forEach { it.start() }
+        repeat(2) { awaitMembers(it) }
         repeat(2) { awaitReady(it) }
     }
 
@@ -82,6 +83,9 @@
     /** Waits until the daemon has [count] connections of callers. */
     fun awaitConnections(daemon: Int, count: Int) = await(daemon, "/status") { "\"connections\":$count," in it.body() }
 
+    /** A host may fall out of standing for a moment while the record of members grows. */
+    private fun awaitMembers(daemon: Int) = await(daemon, "/status") { "\"host-0\",\"host-1\"" in it.body() }
+
     private fun awaitReady(daemon: Int) = await(daemon, "/ready") { it.statusCode() == HTTP_OK }
 
     private fun await(daemon: Int, path: String, condition: (HttpResponse<String>) -> Boolean) {
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/StopAndStallTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/StopAndStallTest.kt
@@ -75,8 +75,11 @@
     private fun runUntilTold(connection: Connection, caller: Int, started: CountDownLatch): String {
         try {
             connection.createStatement().use { statement ->
-                statement.executeUpdate("INSERT INTO notes(id) VALUES ('$caller-first')")
-                started.countDown()
+                try {
+                    statement.executeUpdate("INSERT INTO notes(id) VALUES ('$caller-first')")
+                } finally {
+                    started.countDown()
+                }
                 generateSequence(0) { it + 1 }
                     .forEach { statement.executeUpdate("INSERT INTO notes(id) VALUES ('$caller-$it')") }
             }
