--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/Lanebench.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/Lanebench.kt
@@ -16,7 +16,6 @@
     subcommands = [
         BenchCommand::class,
         ChaosCommand::class,
-        FleetcheckCommand::class,
         ControlCommand::class,
         FleetcheckCommand::class,
         LimitsCommand::class,
