--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/Lanebench.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/Lanebench.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.bench
 
 import dev.cardamomlane.bench.chaos.ChaosCommand
+import dev.cardamomlane.bench.fleet.FleetcheckCommand
 import dev.cardamomlane.bench.fleet.LimitsCommand
 import dev.cardamomlane.bench.queue.QueueCommand
 import dev.cardamomlane.bench.quickstart.QuickstartCommand
--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/fault/SandboxClient.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/fault/SandboxClient.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.longOrNull
 import java.io.IOException
 import java.net.URI
 import java.net.http.HttpClient
@@ -41,6 +42,13 @@
         return found?.get("address")?.jsonPrimitive?.content
     }
 
+    /** The revision that [daemon] has in force, or null when it does not answer or has none. */
+    fun revisionOf(daemon: DaemonEndpoint): Long? = try {
+        json(get("http://${daemon.admin}/status"))["revision"]?.jsonPrimitive?.longOrNull
+    } catch (_: IOException) {
+        null
+    }
+
     /** Posts to the stand-in's admin endpoint and returns its answer. */
     fun post(path: String): String {
         val request = HttpRequest.newBuilder(URI("http://${endpoints.standinAdmin}$path"))
--- /dev/null
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/fleet/RevisionWatch.kt
@@ -0,0 +1,48 @@
+package dev.cardamomlane.bench.fleet
+
+import dev.cardamomlane.bench.DaemonEndpoint
+import dev.cardamomlane.bench.Endpoints
+import dev.cardamomlane.bench.fault.SandboxClient
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/** Follows which revision each daemon has in force and notes every step back. */
+internal class RevisionWatch(endpoints: Endpoints) : AutoCloseable {
+    private val client = SandboxClient(endpoints)
+    private val daemons = endpoints.daemons
+    private val threads = Executors.newScheduledThreadPool(daemons.size)
+    private val revisions = ConcurrentHashMap<String, Long>()
+
+    /** One line for each daemon that went back to an earlier revision. */
+    val reverts = ConcurrentLinkedQueue<String>()
+
+    fun start() {
+        daemons.forEach { threads.scheduleWithFixedDelay({ look(it) }, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS) }
+    }
+
+    /** Waits until every daemon has [revision] in force. Returns false after [limitMillis]. */
+    fun await(revision: Long, limitMillis: Long): Boolean {
+        val endNanos = System.nanoTime() + limitMillis * 1_000_000
+        while (System.nanoTime() < endNanos) {
+            if (daemons.all { (revisions[it.name] ?: 0) >= revision }) return true
+            Thread.sleep(PERIOD_MILLIS / 2)
+        }
+        return false
+    }
+
+    override fun close() {
+        threads.shutdownNow()
+    }
+
+    private fun look(daemon: DaemonEndpoint) {
+        val revision = client.revisionOf(daemon) ?: return
+        val before = revisions.put(daemon.name, revision) ?: return
+        if (revision < before) reverts += "${daemon.name} went from revision $before to $revision"
+    }
+
+    private companion object {
+        const val PERIOD_MILLIS = 20L
+    }
+}
--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/load/Sample.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/load/Sample.kt
@@ -1,5 +1,8 @@
 package dev.cardamomlane.bench.load
 
+import dev.cardamomlane.bench.DaemonEndpoint
+import dev.cardamomlane.bench.history.Operation
+import dev.cardamomlane.bench.history.OperationKind
 import dev.cardamomlane.bench.history.Outcome
 
 /**
@@ -22,6 +25,21 @@
     val isRateRefusal: Boolean
         get() = detail?.startsWith(RATE_STATE) == true
 
+    /** The sample as an operation of a history. */
+    fun toOperation(daemons: List<DaemonEndpoint>): Operation = Operation(
+        session = arrival.customer.name,
+        number = arrival.atMicros,
+        daemon = daemons[arrival.daemonIndex].name,
+        database = arrival.database,
+        customer = arrival.customer.name,
+        kind = if (arrival.kind == WorkKind.WRITE) OperationKind.INSERT else OperationKind.READ,
+        statements = listOf(arrival.statement),
+        outcome = outcome,
+        startMicros = startMicros,
+        endMicros = endMicros,
+        detail = detail,
+    )
+
     private companion object {
         const val RATE_STATE = "53400"
     }
