--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/fleet/FleetCheck.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/fleet/FleetCheck.kt
@@ -10,7 +10,7 @@
 import dev.cardamomlane.bench.load.OpenLoop
 import dev.cardamomlane.bench.load.Sample
 import dev.cardamomlane.core.CustomerId
-import dev.cardamomlane.platform.Revision
+import dev.cardamomlane.store.Revision
 
 /** The phases of a fleet check. */
 internal class FleetCheck(
--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/fleet/RevisionApplier.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/fleet/RevisionApplier.kt
@@ -3,11 +3,11 @@
 import dev.cardamomlane.bench.Endpoints
 import dev.cardamomlane.core.keys.KeyRecord
 import dev.cardamomlane.core.rules.RuleSet
-import dev.cardamomlane.platform.ConfigurationStore
-import dev.cardamomlane.platform.Draft
-import dev.cardamomlane.platform.DynamoPlatformTable
-import dev.cardamomlane.platform.DynamoSettings
-import dev.cardamomlane.platform.Revision
+import dev.cardamomlane.store.ConfigurationStore
+import dev.cardamomlane.store.Draft
+import dev.cardamomlane.store.DynamoPlatformTable
+import dev.cardamomlane.store.DynamoSettings
+import dev.cardamomlane.store.Revision
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 import java.net.URI
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/Connection.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/Connection.kt
@@ -1,11 +1,11 @@
 package dev.cardamomlane.cli
 
-import dev.cardamomlane.platform.ConfigurationHead
-import dev.cardamomlane.platform.ConfigurationStore
-import dev.cardamomlane.platform.DynamoPlatformTable
-import dev.cardamomlane.platform.HttpHostList
-import dev.cardamomlane.platform.ListedHost
-import dev.cardamomlane.platform.Revision
+import dev.cardamomlane.store.ConfigurationHead
+import dev.cardamomlane.store.ConfigurationStore
+import dev.cardamomlane.store.DynamoPlatformTable
+import dev.cardamomlane.store.HttpHostList
+import dev.cardamomlane.store.ListedHost
+import dev.cardamomlane.store.Revision
 import java.net.URI
 
 /** A connection to the platform and to the hosts that it lists. Its functions block. */
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ForceWait.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ForceWait.kt
@@ -1,7 +1,7 @@
 package dev.cardamomlane.cli
 
-import dev.cardamomlane.platform.HostState
-import dev.cardamomlane.platform.PlatformUnavailableException
+import dev.cardamomlane.store.HostState
+import dev.cardamomlane.store.PlatformUnavailableException
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/HostStatus.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/HostStatus.kt
@@ -1,6 +1,6 @@
 package dev.cardamomlane.cli
 
-import dev.cardamomlane.platform.ListedHost
+import dev.cardamomlane.store.ListedHost
 
 /**
  * What one listed host answered.
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/LaneCtl.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/LaneCtl.kt
@@ -1,6 +1,6 @@
 package dev.cardamomlane.cli
 
-import dev.cardamomlane.platform.PlatformUnavailableException
+import dev.cardamomlane.store.PlatformUnavailableException
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Model.CommandSpec
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/RevisionEditor.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/RevisionEditor.kt
@@ -3,9 +3,9 @@
 import arrow.core.Either
 import arrow.core.getOrElse
 import dev.cardamomlane.core.keys.KeyRecord
-import dev.cardamomlane.platform.ConfigurationHead
-import dev.cardamomlane.platform.Draft
-import dev.cardamomlane.platform.ProposalRefusal
+import dev.cardamomlane.store.ConfigurationHead
+import dev.cardamomlane.store.Draft
+import dev.cardamomlane.store.ProposalRefusal
 import kotlinx.collections.immutable.toImmutableList
 
 /** Turns the edits of one operator into proposals. */
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/StatusClient.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/StatusClient.kt
@@ -1,6 +1,6 @@
 package dev.cardamomlane.cli
 
-import dev.cardamomlane.platform.ListedHost
+import dev.cardamomlane.store.ListedHost
 import kotlinx.serialization.json.Json
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ToolSettings.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ToolSettings.kt
@@ -3,7 +3,7 @@
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlConfiguration
 import com.charleskorn.kaml.YamlException
-import dev.cardamomlane.platform.DynamoSettings
+import dev.cardamomlane.store.DynamoSettings
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.MissingFieldException
 import kotlinx.serialization.Serializable
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/Daemon.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/Daemon.kt
@@ -27,8 +27,8 @@
 import dev.cardamomlane.daemon.target.TargetLane
 import dev.cardamomlane.daemon.target.TargetPool
 import dev.cardamomlane.daemon.trace.Tracing
-import dev.cardamomlane.platform.DynamoPlatformTable
-import dev.cardamomlane.platform.DynamoSettings
+import dev.cardamomlane.store.DynamoPlatformTable
+import dev.cardamomlane.store.DynamoSettings
 import dev.cardamomlane.wire.RealSessionOpener
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/ControlTable.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/ControlTable.kt
@@ -3,11 +3,11 @@
 import dev.cardamomlane.core.fleet.Configuration
 import dev.cardamomlane.core.fleet.ControlRows
 import dev.cardamomlane.core.fleet.LeaseRow
-import dev.cardamomlane.platform.ConditionalWrite
-import dev.cardamomlane.platform.ConfigurationStore
-import dev.cardamomlane.platform.PlatformTable
-import dev.cardamomlane.platform.Row
-import dev.cardamomlane.platform.WriteOutcome
+import dev.cardamomlane.store.ConditionalWrite
+import dev.cardamomlane.store.ConfigurationStore
+import dev.cardamomlane.store.PlatformTable
+import dev.cardamomlane.store.Row
+import dev.cardamomlane.store.WriteOutcome
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 import reactor.core.publisher.Mono
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/FleetRows.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/FleetRows.kt
@@ -6,7 +6,7 @@
 import dev.cardamomlane.core.fleet.MemberId
 import dev.cardamomlane.core.fleet.MemberRecord
 import dev.cardamomlane.core.fleet.RevisionHead
-import dev.cardamomlane.platform.Row
+import dev.cardamomlane.store.Row
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/HostLease.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/HostLease.kt
@@ -1,10 +1,10 @@
 package dev.cardamomlane.daemon.fleet
 
 import dev.cardamomlane.core.fleet.Member
-import dev.cardamomlane.platform.ConditionalWrite
-import dev.cardamomlane.platform.PlatformTable
-import dev.cardamomlane.platform.Row
-import dev.cardamomlane.platform.WriteOutcome
+import dev.cardamomlane.store.ConditionalWrite
+import dev.cardamomlane.store.PlatformTable
+import dev.cardamomlane.store.Row
+import dev.cardamomlane.store.WriteOutcome
 import reactor.core.publisher.Mono
 import java.util.Optional
 import java.util.UUID
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/RealFleet.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/RealFleet.kt
@@ -19,8 +19,8 @@
 import dev.cardamomlane.core.limits.ShareMessage
 import dev.cardamomlane.daemon.FleetGate
 import dev.cardamomlane.daemon.settings.IpAddress
-import dev.cardamomlane.platform.PlatformTable
-import dev.cardamomlane.platform.WriteOutcome
+import dev.cardamomlane.store.PlatformTable
+import dev.cardamomlane.store.WriteOutcome
 import dev.cardamomlane.wire.peer.FleetMessages
 import dev.cardamomlane.wire.peer.PeerMessage
 import io.micrometer.core.instrument.MeterRegistry
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/GroupFactory.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/GroupFactory.kt
@@ -8,7 +8,7 @@
 import dev.cardamomlane.core.group.GroupTarget
 import dev.cardamomlane.daemon.settings.DatabaseSettings
 import dev.cardamomlane.daemon.settings.TargetSettings
-import dev.cardamomlane.platform.PlatformTable
+import dev.cardamomlane.store.PlatformTable
 import kotlinx.collections.immutable.toImmutableList
 import reactor.core.scheduler.Scheduler
 import java.util.UUID
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/TermClaims.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/TermClaims.kt
@@ -3,9 +3,9 @@
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.failover.ClaimOutcome
-import dev.cardamomlane.platform.ConditionalWrite
-import dev.cardamomlane.platform.PlatformTable
-import dev.cardamomlane.platform.WriteOutcome
+import dev.cardamomlane.store.ConditionalWrite
+import dev.cardamomlane.store.PlatformTable
+import dev.cardamomlane.store.WriteOutcome
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import reactor.core.publisher.Mono
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/fleet/RealFleetTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/fleet/RealFleetTest.kt
@@ -9,9 +9,9 @@
 import dev.cardamomlane.core.failover.PeerView
 import dev.cardamomlane.core.failover.PrimaryReach
 import dev.cardamomlane.core.limits.Admission
-import dev.cardamomlane.platform.ConfigurationStore
-import dev.cardamomlane.platform.Draft
-import dev.cardamomlane.platform.MemoryPlatformTable
+import dev.cardamomlane.store.ConfigurationStore
+import dev.cardamomlane.store.Draft
+import dev.cardamomlane.store.MemoryPlatformTable
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.AfterEach
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/GroupWatchTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/GroupWatchTest.kt
@@ -12,8 +12,8 @@
 import dev.cardamomlane.core.group.TargetStatus
 import dev.cardamomlane.daemon.settings.DatabaseSettings
 import dev.cardamomlane.daemon.settings.TargetSettings
-import dev.cardamomlane.platform.MemoryPlatformTable
-import dev.cardamomlane.platform.PlatformTable
+import dev.cardamomlane.store.MemoryPlatformTable
+import dev.cardamomlane.store.PlatformTable
 import kotlinx.collections.immutable.toImmutableList
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
@@ -98,7 +98,7 @@
     fun `a platform that does not answer delays a failover and does not stop it`() {
         val table = MemoryPlatformTable()
         val silent = object : PlatformTable by table {
-            override fun get(key: String) = Mono.never<dev.cardamomlane.platform.Row>()
+            override fun get(key: String) = Mono.never<dev.cardamomlane.store.Row>()
         }
         start(silent)
         assertFailover()
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/TermClaimsTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/TermClaimsTest.kt
@@ -3,7 +3,7 @@
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.failover.ClaimOutcome
-import dev.cardamomlane.platform.MemoryPlatformTable
+import dev.cardamomlane.store.MemoryPlatformTable
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -0,0 +1,290 @@
+package dev.cardamomlane.engine
+
+import dev.cardamomlane.core.CustomerId
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.limits.Allowance
+import dev.cardamomlane.core.limits.LimitBook
+import dev.cardamomlane.core.limits.ShareBasis
+import dev.cardamomlane.core.limits.ShareTable
+import dev.cardamomlane.engine.config.Configuration
+import dev.cardamomlane.engine.fleet.ControlStore
+import dev.cardamomlane.engine.fleet.Fleet
+import dev.cardamomlane.engine.fleet.GroupNote
+import dev.cardamomlane.engine.fleet.GroupNotes
+import dev.cardamomlane.engine.fleet.Member
+import dev.cardamomlane.engine.fleet.Peer
+import dev.cardamomlane.engine.fleet.PeerNetwork
+import dev.cardamomlane.engine.fleet.PromotionCall
+import dev.cardamomlane.engine.fleet.Standing
+import dev.cardamomlane.engine.fleet.Takeover
+import dev.cardamomlane.engine.group.DatabaseGroup
+import dev.cardamomlane.engine.group.PositionSample
+import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.log.RequestMeter
+import dev.cardamomlane.engine.session.AdmissionGate
+import dev.cardamomlane.engine.session.CallerLink
+import dev.cardamomlane.engine.session.CallerSession
+import dev.cardamomlane.engine.session.SessionServices
+import dev.cardamomlane.engine.target.TargetDialer
+import dev.cardamomlane.engine.target.TargetEntry
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.LogPosition
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toImmutableMap
+
+/**
+ * One entry host: its sessions, its groups and its place in the fleet. Everything runs on one event loop; nothing
+ * here blocks, reads a clock or opens a socket by itself.
+ *
+ * @param mayTakeOver false on a host that must not lead takeovers
+ */
+public class ProxyHost(
+    private val self: Member,
+    private val zone: String,
+    override val timers: TimerService,
+    private val dialer: TargetDialer,
+    private val store: ControlStore,
+    network: PeerNetwork,
+    private val promotion: PromotionCall,
+    override val log: DecisionLog,
+    private val meter: RequestMeter,
+) : SessionServices, GroupNotes {
+    private val standing = Standing()
+    private val fleet = Fleet(self, timers, store, network, standing, log, this)
+    private val limits = LimitBook(Fleet.memberId(self.name), fleet)
+    private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
+    private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
+    private val sessions = LinkedHashSet<CallerSession>()
+    private var entries: List<TargetEntry> = emptyList()
+    private var basis: ShareBasis? = null
+    private var memberNames: Set<String> = setOf(self.name)
+    private var stoppingSinceMillis: Long? = null
+    private var configuredAtMillis = Standing.NEVER
+
+    override var configuration: Configuration = Configuration.NONE
+        private set
+
+    override val gate: AdmissionGate = AdmissionGate { customer ->
+        val nowMillis = timers.nowMillis()
+        limits.admit(customer.id, standing.isCurrent(nowMillis), nowMillis)
+    }
+
+    /** How many sessions are open. */
+    public val sessionCount: Int get() = sessions.size
+
+    /** Wakes when the configuration of a peer is newer than this host's. */
+    public var onNewerConfiguration: (Member, Long) -> Unit = { _, _ -> }
+
+    init {
+        standing.onChange { record ->
+            groups[record.group]?.onRecord(record)
+            fleet.heartbeat()
+        }
+        fleet.shareListener = { from, message ->
+            val nowMillis = timers.nowMillis()
+            limits.onMessage(from, message, standing.isCurrent(nowMillis), nowMillis)
+        }
+        fleet.onMembers { names ->
+            memberNames = names
+            installShares()
+            updateGroups()
+        }
+    }
+
+    /** Starts the periodic work. */
+    public fun start() {
+        log.belief("host", "started", "host", self.name, "zone", zone, "incarnation", self.incarnation)
+        fleet.refresh()
+        timers.every(Fleet.HEARTBEAT_MILLIS) { onHeartbeat() }
+        timers.every(TICK_MILLIS) { onTick() }
+    }
+
+    /** Takes in a datagram of another host. */
+    public fun onPeerMessage(message: dev.cardamomlane.engine.fleet.PeerMessage) {
+        fleet.onMessage(message)
+    }
+
+    /** Puts [newer] in force unless a newer version is. */
+    public fun configure(newer: Configuration) {
+        if (newer.version <= configuration.version) return
+        val before = configuration
+        configuration = newer
+        configuredAtMillis = timers.nowMillis()
+        log.belief(
+            "configuration", "in_force", "version", newer.version, "before", before.version,
+            "routes", newer.routes.size, "customers", newer.customersByKey.values.distinct().size,
+        )
+        installShares()
+        updateGroups()
+    }
+
+    /** Replaces the list of targets. */
+    public fun listTargets(newer: List<TargetEntry>) {
+        entries = newer
+        updateGroups()
+    }
+
+    override fun group(id: DatabaseId): DatabaseGroup? = groups[id]
+
+    override fun count(route: String, outcome: String, tookMillis: Long) {
+        meter.count(route, outcome, tookMillis)
+    }
+
+    /** Opens a session for a caller, or refuses it over [link] and returns null. */
+    public fun openSession(link: CallerLink, database: String, key: String?): CallerSession? =
+        CallerSession.open(this, link, database, key)?.also { sessions += it }
+
+    /** The caller of [session] has left, or was let go. */
+    public fun closeSession(session: CallerSession) {
+        sessions -= session
+        session.onClosed()
+    }
+
+    /** True when this host can serve: it knows configuration, targets and who leads them, and is not stopping. */
+    public fun isReady(): Boolean =
+        stoppingSinceMillis == null && configuration.version >= 0 && groups.isNotEmpty() && fleet.isRegistered &&
+            standing.isCurrent(timers.nowMillis())
+
+    /**
+     * Begins a graceful stop: transactions may finish, then sessions are closed as they come to rest. [done] is called
+     * when all are closed or [graceMillis] have passed.
+     */
+    public fun stop(graceMillis: Long, done: () -> Unit) {
+        if (stoppingSinceMillis != null) return
+        val nowMillis = timers.nowMillis()
+        stoppingSinceMillis = nowMillis
+        log.belief("host", "stopping", "sessions", sessions.size)
+        limits.returnAll(nowMillis)
+        timers.after(minOf(STILL_SERVING_MILLIS, graceMillis / 3)) { closeIdleSessions() }
+        timers.after(graceMillis / 2) { sessions.toList().forEach { it.abortTransaction("the host is stopping") } }
+        finishStop(nowMillis + graceMillis, done)
+    }
+
+    private fun closeIdleSessions() {
+        for (session in sessions.toList()) session.closeWhenIdle()
+    }
+
+    private fun finishStop(endMillis: Long, done: () -> Unit) {
+        if (sessions.isEmpty() || timers.nowMillis() >= endMillis) {
+            log.belief("host", "stopped", "sessions", sessions.size)
+            return done()
+        }
+        timers.after(STOP_POLL_MILLIS) { finishStop(endMillis, done) }
+    }
+
+    override val configurationVersion: Long get() = configuration.version
+
+    override fun notes(nowMillis: Long): List<GroupNote> = groups.values.map { note(it, nowMillis) }
+
+    private fun note(group: DatabaseGroup, nowMillis: Long): GroupNote {
+        val record = standing.record(group.id)
+        val primary = group.primary
+        val sample = group.newestSample
+        val isHeard = primary != null && primary.heardAtMillis > Standing.NEVER
+        return GroupNote(
+            group = group.id.value,
+            version = record?.version ?: 0,
+            fence = record?.fence ?: 0,
+            primary = record?.primary?.value ?: primary?.entry?.id?.value ?: "",
+            isChanging = record?.isChanging ?: false,
+            isPlanned = record?.isPlanned ?: false,
+            holder = record?.holder ?: "",
+            recordTerm = record?.term ?: 0,
+            positionTerm = sample?.position?.term ?: 0,
+            positionOffset = sample?.position?.offset ?: 0,
+            positionAgeMillis = if (sample == null) -1 else nowMillis - sample.askedAtMillis,
+            primaryHeardMillis = if (isHeard) nowMillis - primary.heardAtMillis else -1,
+            unreachable = group.targets.filter { it.unreachableSinceMillis != null }.map { it.entry.id.value },
+            confirmedVersion = group.confirmedVersion,
+        )
+    }
+
+    override fun onNotes(peer: Peer, notes: List<GroupNote>, nowMillis: Long) {
+        val newer = peer.last?.configurationVersion ?: -1
+        if (newer > configuration.version) onNewerConfiguration(peer.member, newer)
+        if (peer.spokeAtMillis <= Standing.NEVER) return
+        for (note in notes) {
+            val group = groups[DatabaseId(note.group)] ?: continue
+            if (note.positionAgeMillis < 0 || note.primary.isEmpty()) continue
+            val askedAtMillis = peer.spokeAtMillis - note.positionAgeMillis
+            val position = LogPosition(note.positionTerm, note.positionOffset)
+            group.learnPosition(TargetId(note.primary), PositionSample(askedAtMillis, position))
+        }
+    }
+
+    private fun onHeartbeat() {
+        fleet.tick()
+        limits.tick(timers.nowMillis())
+        fleet.newestConfigurationAt()?.let { (member, version) ->
+            if (version > configuration.version) onNewerConfiguration(member, version)
+        }
+    }
+
+    private fun onTick() {
+        for (group in groups.values) group.tick()
+        for (takeover in takeovers.values) takeover.tick()
+    }
+
+    private fun updateGroups() {
+        val byGroup = entries.groupBy { it.group }
+        val known = byGroup.keys + configuration.groups.keys + groups.keys
+        for (id in known) {
+            val policy = configuration.groups[id]
+            val group = groups.getOrPut(id) { newGroup(id) }
+            group.controlCustomer = configuration.customersByKey.values.firstOrNull()?.id?.value
+            group.update(byGroup[id] ?: emptyList(), connectionShare(policy?.maxConnections))
+        }
+    }
+
+    private fun connectionShare(maxConnections: Int?): Int {
+        if (maxConnections == null) return MIN_CONNECTIONS
+        return maxOf(MIN_CONNECTIONS, (maxConnections - SPARE_CONNECTIONS) / maxOf(1, memberNames.size))
+    }
+
+    private fun newGroup(id: DatabaseId): DatabaseGroup {
+        val group = DatabaseGroup(id, zone, timers, dialer, standing, log)
+        group.onConfirmed = fleet::heartbeat
+        takeovers[id] = Takeover(
+            self = "${self.name}#${self.incarnation}",
+            group = group,
+            fleet = fleet,
+            store = store,
+            promotion = promotion,
+            timers = timers,
+            log = log,
+            mustHearAllReplicas = { configuration.groups[id]?.isReplicatedBeforeAcknowledged == true },
+            customerName = { group.controlCustomer },
+        )
+        standing.record(id)?.let(group::onRecord)
+        return group
+    }
+
+    /** Puts shares in force that add up to at most the limits, also while some hosts still use the ones before. */
+    private fun installShares() {
+        val limited = configuration.customersByKey.values.distinct()
+            .mapNotNull { customer -> customer.allowance?.let { customer.id to it } }
+        val fresh = ShareBasis(
+            members = memberNames.sorted().map { Fleet.memberId(it) }.toImmutableList(),
+            limits = limited.toMap<CustomerId, Allowance>().toImmutableMap(),
+        )
+        val old = basis
+        basis = fresh
+        val nowMillis = timers.nowMillis()
+        if (old == null || old.limits.isEmpty()) return limits.install(ShareTable(persistentListOf(fresh)), nowMillis)
+        limits.install(ShareTable(persistentListOf(old, fresh)), nowMillis)
+        timers.after(SHARE_CHANGE_MILLIS) {
+            if (basis === fresh) limits.install(ShareTable(persistentListOf(fresh)), timers.nowMillis())
+        }
+    }
+
+    public companion object {
+        private const val TICK_MILLIS = 40L
+        private const val STOP_POLL_MILLIS = 50L
+        private const val STILL_SERVING_MILLIS = 2_200L
+        private const val MIN_CONNECTIONS = 2
+        private const val SPARE_CONNECTIONS = 2
+        private const val SHARE_CHANGE_MILLIS = 3_000L
+    }
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -0,0 +1,221 @@
+package dev.cardamomlane.engine.fleet
+
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.fleet.MemberId
+import dev.cardamomlane.core.limits.ShareMessage
+import dev.cardamomlane.core.limits.ShareOutbox
+import dev.cardamomlane.engine.log.DecisionLog
+
+/**
+ * This host's view of the other hosts: who they are, what they know, and the proof that passes between them.
+ *
+ * Each host reads the store when its proof grows old, and tells its proof to the others with its heartbeats, so that
+ * few hosts read and a host that the store turns away lives on the word of the others. While nobody reaches the
+ * store, the word of every member that it has begun no takeover is proof as well.
+ *
+ * Not safe for use by several threads.
+ */
+public class Fleet(
+    private val self: Member,
+    private val timers: TimerService,
+    private val store: ControlStore,
+    private val network: PeerNetwork,
+    public val standing: Standing,
+    private val log: DecisionLog,
+    private val notes: GroupNotes,
+) : ShareOutbox {
+    private var rows: Map<String, MemberRow> = emptyMap()
+    private val peersByName = sortedMapOf<String, Peer>()
+    private val readiness = StoreReading(timers, store, log, ::onRows)
+    private val membersListeners = ArrayList<(Set<String>) -> Unit>()
+    private var isRegistering = false
+    private var registeredAtMillis = Standing.NEVER
+    private var membersHash = 0
+
+    /** Hears messages about shares. */
+    public var shareListener: (MemberId, ShareMessage) -> Unit = { _, _ -> }
+
+    /** The other hosts. */
+    public val peers: Collection<Peer> get() = peersByName.values
+
+    /** True once the store's rows have been read and hold this host. */
+    public val isRegistered: Boolean get() = rows[self.name]?.member == self
+
+    /** How many hosts there are, this one included. */
+    public val size: Int get() = peersByName.size + 1
+
+    /** The newest configuration that a peer knows, and the peer. */
+    public fun newestConfigurationAt(): Pair<Member, Long>? =
+        peersByName.values.mapNotNull { peer -> peer.last?.let { peer.member to it.configurationVersion } }
+            .maxByOrNull { it.second }
+
+    /** Calls [listener] with the names of all members after each change. */
+    public fun onMembers(listener: (Set<String>) -> Unit) {
+        membersListeners += listener
+    }
+
+    /** Reads the store as soon as possible, as after an event that makes the records doubtful. */
+    public fun refresh() {
+        readiness.read()
+    }
+
+    /** Sends heartbeats and refreshes proof. Called at [HEARTBEAT_MILLIS]. */
+    public fun tick() {
+        heartbeat()
+        val nowMillis = timers.nowMillis()
+        learnFromSilence(nowMillis)
+        readiness.refresh(standing.provedAtMillis)
+        if (!isRegistered && nowMillis - registeredAtMillis > REGISTER_MILLIS) register(nowMillis)
+        dropDead(nowMillis)
+    }
+
+    /** Sends one heartbeat to every peer. */
+    public fun heartbeat() {
+        val nowMillis = timers.nowMillis()
+        val groups = notes.notes(nowMillis)
+        val heard = heardMask(nowMillis)
+        for (peer in peersByName.values) {
+            val answered = peer.last
+            val message = Heartbeat(
+                sentAtMillis = nowMillis,
+                answeredSentAtMillis = answered?.sentAtMillis ?: -1,
+                answeredIncarnation = peer.incarnation,
+                answeredHeldMillis = if (answered == null) 0 else nowMillis - peer.heardAtMillis,
+                proofAgeMillis = if (standing.isCurrent(nowMillis)) nowMillis - standing.provedAtMillis else -1,
+                membersHash = membersHash,
+                configurationVersion = notes.configurationVersion,
+                heardMembers = heard,
+                groups = groups,
+            )
+            network.send(peer.member.address, PeerMessage(self.name, self.incarnation, heartbeat = message))
+        }
+    }
+
+    /** Takes in a datagram. */
+    public fun onMessage(message: PeerMessage) {
+        if (message.from == self.name) return
+        val peer = peersByName[message.from]
+        if (peer == null) {
+            readiness.read()
+            return
+        }
+        message.share?.message()?.let { shareListener(memberId(message.from), it) }
+        val heartbeat = message.heartbeat ?: return
+        val nowMillis = timers.nowMillis()
+        if (!peer.hear(message.incarnation, heartbeat, self.incarnation, nowMillis)) return
+        val records = heartbeat.groups.mapNotNull { it.record() }
+        val hasProof = heartbeat.proofAgeMillis >= 0 && peer.spokeAtMillis > Standing.NEVER
+        standing.learn(records, if (hasProof) peer.spokeAtMillis - heartbeat.proofAgeMillis else Standing.NEVER)
+        notes.onNotes(peer, heartbeat.groups, nowMillis)
+        if (heartbeat.membersHash != membersHash) readiness.read()
+    }
+
+    override fun send(to: MemberId, message: ShareMessage) {
+        val peer = peersByName[to.host.value] ?: return
+        network.send(peer.member.address, PeerMessage(self.name, self.incarnation, share = ShareNote.of(message)))
+    }
+
+    /** The members that were heard lately, this host included. */
+    public fun heardCount(nowMillis: Long): Int = 1 + peersByName.values.count { it.isHeard(nowMillis, HEARD_MILLIS) }
+
+    /** This host's place among the hosts heard lately, by name; the first one leads. */
+    public fun rank(nowMillis: Long): Int =
+        peersByName.values.count { it.isHeard(nowMillis, HEARD_MILLIS) && it.member.name < self.name }
+
+    /** True when every host heard lately knows the same members. */
+    public fun agreesOnMembers(nowMillis: Long): Boolean =
+        isRegistered && peersByName.values.none {
+            it.isHeard(nowMillis, HEARD_MILLIS) && it.last?.membersHash != membersHash
+        }
+
+    private fun learnFromSilence(nowMillis: Long) {
+        if (!isRegistered || peersByName.isEmpty()) return
+        val agreeing = peersByName.values.all { it.last?.membersHash == membersHash }
+        if (!agreeing) return
+        val sinceMillis = peersByName.values.minOf { it.spokeAtMillis }
+        if (nowMillis - sinceMillis < Standing.MAX_AGE_MILLIS) standing.learn(emptyList(), sinceMillis)
+    }
+
+    private fun onRows(rows: ControlRows, askedAtMillis: Long) {
+        standing.learn(rows.records, askedAtMillis)
+        this.rows = rows.members.associateBy { it.member.name }
+        val members = rows.members.map { it.member }.filter { it.name != self.name }
+        val names = members.mapTo(HashSet()) { it.name }
+        val before = peersByName.keys.toSet()
+        peersByName.keys.retainAll(names)
+        for (member in members) {
+            if (peersByName[member.name]?.member != member) peersByName[member.name] = Peer(member)
+        }
+        if (!isRegistered) register(timers.nowMillis())
+        membersHash = (names + self.name).sorted().hashCode()
+        if (peersByName.keys != before) {
+            log.belief("fleet", "members_changed", "count", size, "members", (names + self.name).sorted().joinToString(" "))
+            membersListeners.forEach { it(names + self.name) }
+            heartbeat()
+        }
+    }
+
+    private fun register(nowMillis: Long) {
+        if (isRegistering) return
+        isRegistering = true
+        registeredAtMillis = nowMillis
+        store.writeMember(self).doFinally { isRegistering = false }.subscribe(
+            { outcome ->
+                log.belief("fleet", "registration", "outcome", outcome)
+                readiness.read()
+            },
+            { failure -> log.belief("fleet", "registration_failed", "reason", failure.message) },
+        )
+    }
+
+    private fun dropDead(nowMillis: Long) {
+        if (!standing.isCurrent(nowMillis) || rank(nowMillis) != 0) return
+        val names = memberNames()
+        for (peer in peersByName.values) {
+            if (peer.isHeard(nowMillis, DEAD_MILLIS) || wasAddedLately(peer, nowMillis)) continue
+            val bit = names.indexOf(peer.member.name)
+            val isHeardElsewhere = peersByName.values.any {
+                it.isHeard(nowMillis, HEARD_MILLIS) && hasBit(it.last?.heardMembers ?: 0, bit)
+            }
+            val row = rows[peer.member.name]
+            if (isHeardElsewhere || row == null || nowMillis - (droppedAtMillis[row.member.name] ?: Standing.NEVER) < DEAD_MILLIS) continue
+            droppedAtMillis[row.member.name] = nowMillis
+            log.belief("fleet", "member_dropped", "member", row.member.name)
+            store.removeMember(row.member.name, row.version).subscribe({ readiness.read() }, {
+                log.belief("fleet", "member_drop_failed", "member", row.member.name, "reason", it.message)
+            })
+        }
+    }
+
+    private val droppedAtMillis = HashMap<String, Long>()
+    private val addedAtMillis = HashMap<Member, Long>()
+
+    private fun wasAddedLately(peer: Peer, nowMillis: Long): Boolean =
+        nowMillis - addedAtMillis.getOrPut(peer.member) { nowMillis } < DEAD_MILLIS
+
+    private fun memberNames(): List<String> = (peersByName.keys + self.name).sorted()
+
+    private fun heardMask(nowMillis: Long): Long {
+        var mask = 0L
+        memberNames().take(Long.SIZE_BITS).forEachIndexed { bit, name ->
+            if (peersByName[name]?.isHeard(nowMillis, HEARD_LONG_MILLIS) == true) mask = mask or (1L shl bit)
+        }
+        return mask
+    }
+
+    private fun hasBit(mask: Long, bit: Int): Boolean = bit in 0 until Long.SIZE_BITS && mask and (1L shl bit) != 0L
+
+    public companion object {
+        /** The time between two heartbeats. */
+        public const val HEARTBEAT_MILLIS: Long = 250
+
+        private const val HEARD_MILLIS = 900L
+        private const val HEARD_LONG_MILLIS = 3_000L
+        private const val DEAD_MILLIS = 10_000L
+        private const val REGISTER_MILLIS = 1_500L
+
+        /** How shares name a host; its runs hold the same share one after the other. */
+        public fun memberId(name: String): MemberId = MemberId(HostId(name), incarnation = 0)
+    }
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupNotes.kt
@@ -0,0 +1,13 @@
+package dev.cardamomlane.engine.fleet
+
+/** Where heartbeats get what they say of groups, and hand over what others say. */
+public interface GroupNotes {
+    /** The newest configuration known here. */
+    public val configurationVersion: Long
+
+    /** What this host says of its groups now. */
+    public fun notes(nowMillis: Long): List<GroupNote>
+
+    /** Takes in what [peer] says of its groups. */
+    public fun onNotes(peer: Peer, notes: List<GroupNote>, nowMillis: Long)
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberRow.kt
@@ -0,0 +1,4 @@
+package dev.cardamomlane.engine.fleet
+
+/** A member and the version of its row. */
+public data class MemberRow(val member: Member, val version: Long)
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -0,0 +1,16 @@
+package dev.cardamomlane.engine.fleet
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
+
+/** A datagram between two hosts: a heartbeat or a message about a customer's share. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+public data class PeerMessage(
+    val from: String,
+    val incarnation: Long,
+    val heartbeat: Heartbeat? = null,
+    val share: ShareNote? = null,
+)
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -0,0 +1,404 @@
+package dev.cardamomlane.engine.fleet
+
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.group.DatabaseGroup
+import dev.cardamomlane.engine.group.GroupRecord
+import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.target.Target
+import dev.cardamomlane.engine.target.TargetStatus
+
+/**
+ * Replaces the primary of one group when it is lost, leaves, or is out of reach of many hosts.
+ *
+ * Any host may lead. It claims the group's record under a new fence, waits until no host can acknowledge a write of
+ * the old primary any more, asks the targets what they hold, orders the promotion of the one that holds most, and
+ * publishes it. Each step is safe to repeat, and safe when two hosts try: the store lets one claim succeed. A host that
+ * finds a claim without progress claims the record anew.
+ *
+ * Not safe for use by several threads.
+ *
+ * @param self names this run of this host in records
+ */
+public class Takeover(
+    private val self: String,
+    private val group: DatabaseGroup,
+    private val fleet: Fleet,
+    private val store: ControlStore,
+    private val promotion: PromotionCall,
+    private val timers: TimerService,
+    private val log: DecisionLog,
+    private val mustHearAllReplicas: () -> Boolean,
+    private val customerName: () -> String?,
+) {
+    private val standing = fleet.standing
+    private var phase: Phase = Phase.Watching
+    private var changingSinceMillis = 0L
+    private var changingVersion = -1L
+    private var suspectedSinceMillis: Long? = null
+    private var partSinceMillis: Long? = null
+    private var primaryMissingSinceMillis: Long? = null
+    private var plannedPauseUntilMillis = Standing.NEVER
+    private var isBusy = false
+    private var probedAtMillis = Standing.NEVER
+    private val rejected = HashSet<TargetId>()
+
+    /** The targets that a takeover replaced and that may not know it. */
+    private val toDemote = LinkedHashMap<TargetId, Demotion>()
+
+    /** Looks at the group and takes the next step. Called at a short interval. */
+    public fun tick() {
+        val nowMillis = timers.nowMillis()
+        noteChange(nowMillis)
+        demoteOld(nowMillis)
+        when (val now = phase) {
+            is Phase.Watching -> watch(nowMillis)
+            is Phase.Claiming -> Unit
+            is Phase.Draining -> drain(now, nowMillis)
+            is Phase.Surveying -> survey(now, nowMillis)
+            is Phase.Promoting -> await(now, nowMillis)
+            is Phase.Publishing -> publish(now, nowMillis)
+        }
+    }
+
+    private fun noteChange(nowMillis: Long) {
+        val record = standing.record(group.id)
+        if (record != null && record.version != changingVersion) {
+            changingVersion = record.version
+            changingSinceMillis = nowMillis
+            val isOurs = record.isChanging && record.holder == self
+            if (!isOurs && phase !is Phase.Watching && phase !is Phase.Claiming) {
+                log.belief("takeover", "superseded", "group", group.id.value, "fence", record.fence)
+                phase = Phase.Watching
+            }
+        }
+    }
+
+    private fun watch(nowMillis: Long) {
+        val record = standing.record(group.id)
+        if (record != null && record.isChanging) {
+            val stalledMillis = nowMillis - changingSinceMillis - fleet.rank(nowMillis) * RANK_STEP_MILLIS
+            if (record.holder == self || stalledMillis > STALLED_MILLIS) claim("stalled takeover", record.isPlanned, nowMillis)
+            return
+        }
+        val reason = reasonToReplace(nowMillis) ?: return
+        val dueMillis = reason.sinceMillis + reason.patienceMillis + fleet.rank(nowMillis) * RANK_STEP_MILLIS
+        if (nowMillis >= dueMillis) claim(reason.text, reason.isPlanned, nowMillis)
+    }
+
+    private fun reasonToReplace(nowMillis: Long): Reason? {
+        val primary = group.primary ?: return missingPrimary(nowMillis)
+        primaryMissingSinceMillis = null
+        if (group.targets.none { it !== primary && isCandidate(it) }) return null
+        return leaving(primary, nowMillis) ?: lost(primary, nowMillis) ?: partlyReached(primary, nowMillis)
+    }
+
+    private fun missingPrimary(nowMillis: Long): Reason? {
+        if (group.targets.none(::isCandidate)) return null
+        val since = primaryMissingSinceMillis ?: nowMillis.also { primaryMissingSinceMillis = it }
+        return Reason("no primary is listed", isPlanned = false, since, MISSING_MILLIS)
+    }
+
+    private fun leaving(primary: Target, nowMillis: Long): Reason? {
+        if (!primary.entry.isDraining || primary.unreachableSinceMillis != null) return null
+        if (nowMillis < plannedPauseUntilMillis) return null
+        return Reason("primary is leaving", isPlanned = true, sinceMillis = nowMillis, patienceMillis = 0)
+    }
+
+    private fun lost(primary: Target, nowMillis: Long): Reason? {
+        val ownSince = primary.unreachableSinceMillis ?: primary.goneAtMillis
+        val isHeardElsewhere = heardPeers(nowMillis).any { peer ->
+            val heardMillis = peer.note(group.id.value)?.primaryHeardMillis ?: -1
+            heardMillis in 0 until LOST_MILLIS && primary.entry.id.value !in unreachableFor(peer)
+        }
+        if (ownSince == null) probeIfDoubted(primary, nowMillis)
+        if (ownSince == null || isHeardElsewhere) {
+            suspectedSinceMillis = null
+            return null
+        }
+        val since = suspectedSinceMillis ?: ownSince.also { suspectedSinceMillis = it }
+        val patienceMillis = if (primary.isRefusing) REFUSED_MILLIS else LOST_MILLIS
+        return Reason("primary does not answer", isPlanned = false, since, patienceMillis)
+    }
+
+    /** Asks the primary something when another host can't reach it, so that the hosts soon agree. */
+    private fun probeIfDoubted(primary: Target, nowMillis: Long) {
+        if (nowMillis - probedAtMillis < PROBE_MILLIS || nowMillis - primary.heardAtMillis < PROBE_MILLIS) return
+        if (heardPeers(nowMillis).none { primary.entry.id.value in unreachableFor(it) }) return
+        val customer = customerName() ?: return
+        probedAtMillis = nowMillis
+        primary.status(customer) { _, _ -> }
+    }
+
+    private fun partlyReached(primary: Target, nowMillis: Long): Reason? {
+        val doubting = heardPeers(nowMillis).count { primary.entry.id.value in unreachableFor(it) }
+        val isPart = doubting >= fleet.heardCount(nowMillis) * PART && doubting > 0
+        if (!isPart || nowMillis < plannedPauseUntilMillis) {
+            partSinceMillis = null
+            return null
+        }
+        val since = partSinceMillis ?: nowMillis.also { partSinceMillis = it }
+        return Reason("primary is out of reach of many hosts", isPlanned = true, since, PART_MILLIS)
+    }
+
+    private fun heardPeers(nowMillis: Long) = fleet.peers.filter { it.isHeard(nowMillis, PEER_MILLIS) }
+
+    private fun unreachableFor(peer: Peer): List<String> = peer.note(group.id.value)?.unreachable ?: emptyList()
+
+    private fun isCandidate(target: Target): Boolean =
+        target.goneAtMillis == null && !target.entry.isDraining && target.unreachableSinceMillis == null
+
+    private fun claim(reason: String, isPlanned: Boolean, nowMillis: Long) {
+        if (!standing.isCurrent(nowMillis) || !fleet.agreesOnMembers(nowMillis)) return
+        val old = standing.record(group.id)
+        val primaryId = old?.primary ?: group.primary?.entry?.id ?: UNKNOWN_TARGET
+        val record = GroupRecord(
+            group = group.id,
+            version = 0,
+            fence = (old?.fence ?: 0) + 1,
+            primary = primaryId,
+            isChanging = true,
+            isPlanned = isPlanned,
+            holder = self,
+            term = old?.term ?: 0,
+        )
+        log.belief(
+            "takeover", "claim", "group", group.id.value, "reason", reason, "fence", record.fence,
+            "primary", primaryId.value, "is_planned", isPlanned, "proof_age_ms", nowMillis - standing.provedAtMillis,
+        )
+        phase = Phase.Claiming
+        store.writeRecord(record, expectedVersion = old?.version ?: 0).subscribe(
+            { onClaim(it, record) },
+            { failure -> backToWatching("claim failed: ${failure.message}") },
+        )
+    }
+
+    private fun onClaim(outcome: StoreWrite, record: GroupRecord) {
+        if (outcome !is StoreWrite.Applied) return backToWatching("claim ended with $outcome")
+        val claimed = record.copy(version = outcome.version)
+        standing.learn(listOf(claimed), Standing.NEVER)
+        changingVersion = claimed.version
+        rejected.clear()
+        phase = Phase.Draining(claimed, untilMillis = timers.nowMillis() + Standing.MAX_AGE_MILLIS + MARGIN_MILLIS)
+        fleet.heartbeat()
+    }
+
+    private fun backToWatching(reason: String) {
+        log.belief("takeover", "stopped", "group", group.id.value, "reason", reason)
+        phase = Phase.Watching
+        plannedPauseUntilMillis = timers.nowMillis() + RETRY_PAUSE_MILLIS
+        fleet.refresh()
+    }
+
+    private fun drain(now: Phase.Draining, nowMillis: Long) {
+        val isConfirmed = group.hasConfirmed(now.record.version) && fleet.peers.all { peer ->
+            (peer.note(group.id.value)?.confirmedVersion ?: 0) >= now.record.version
+        }
+        if (!isConfirmed && nowMillis < now.untilMillis) return
+        log.belief("takeover", "drained", "group", group.id.value, "is_confirmed", isConfirmed)
+        phase = Phase.Surveying(now.record, startedAtMillis = nowMillis)
+    }
+
+    private fun survey(now: Phase.Surveying, nowMillis: Long) {
+        if (isBusy) return
+        val customer = customerName() ?: return
+        val isLate = nowMillis - now.startedAtMillis > SURVEY_MILLIS
+        val asked = group.targets.filter { it.goneAtMillis == null && (it.unreachableSinceMillis == null || isLate) }
+        if (asked.isEmpty()) return
+        isBusy = true
+        val answers = LinkedHashMap<Target, TargetStatus>()
+        var left = asked.size
+        for (target in asked) {
+            target.status(customer) { status, _ ->
+                if (status != null) answers[target] = status
+                left--
+                if (left == 0) {
+                    isBusy = false
+                    if (phase === now) decide(now, answers)
+                }
+            }
+        }
+    }
+
+    private fun decide(now: Phase.Surveying, answers: Map<Target, TargetStatus>) {
+        val record = now.record
+        val nowMillis = timers.nowMillis()
+        val leading = answers.entries.filter { (target, status) ->
+            status.isPrimary && target.entry.id != record.primary && status.term > record.term
+        }.maxByOrNull { it.value.term }
+        if (leading != null) return publishAs(record, leading.key, leading.value.term)
+        val old = answers.entries.firstOrNull { it.key.entry.id == record.primary && it.value.isPrimary }
+        val candidates = answers.filter { (target, status) ->
+            !status.isPrimary && isCandidate(target) && target.entry.id !in rejected
+        }
+        val best = candidates.entries.maxWithOrNull(
+            compareBy({ it.value.received }, { -doubtCount(it.key, nowMillis) }),
+        )
+        val waitedMillis = nowMillis - now.startedAtMillis
+        when {
+            best == null -> if (old != null && waitedMillis > CATCH_UP_MILLIS) giveUp(record, old.key, "no replica can lead")
+            record.isPlanned && old != null && best.value.received < old.value.received ->
+                if (waitedMillis > CATCH_UP_MILLIS) giveUp(record, old.key, "no replica caught up")
+            mustHearAllReplicas() && !hasHeardAll(record, answers) && waitedMillis < ALL_REPLICAS_MILLIS -> Unit
+            else -> promote(record, best.key, best.value, nowMillis)
+        }
+    }
+
+    private fun hasHeardAll(record: GroupRecord, answers: Map<Target, TargetStatus>): Boolean =
+        group.targets.filter { it.goneAtMillis == null && it.entry.id != record.primary }.all { it in answers }
+
+    private fun doubtCount(target: Target, nowMillis: Long): Int =
+        heardPeers(nowMillis).count { target.entry.id.value in unreachableFor(it) }
+
+    /** Ends the takeover with the old primary in place, which was never replaced. */
+    private fun giveUp(record: GroupRecord, old: Target, reason: String) {
+        log.belief("takeover", "given_up", "group", group.id.value, "reason", reason)
+        plannedPauseUntilMillis = timers.nowMillis() + GIVE_UP_PAUSE_MILLIS
+        phase = Phase.Publishing(record, old.entry.id, record.term)
+    }
+
+    private fun promote(record: GroupRecord, target: Target, status: TargetStatus, nowMillis: Long) {
+        if (nowMillis - standing.provedAtMillis > PROMOTE_PROOF_MILLIS) {
+            fleet.refresh()
+            return
+        }
+        log.belief(
+            "takeover", "promote", "group", group.id.value, "target", target.entry.id.value, "fence", record.fence,
+            "received", status.received, "term", status.term,
+        )
+        phase = Phase.Promoting(record, target, status.term, sentAtMillis = nowMillis)
+        promotion.promote(group.id, target.entry.id, record.holder, record.fence).subscribe(
+            { outcome -> onPromotion(target, outcome) },
+            { failure -> log.belief("takeover", "promote_unanswered", "reason", failure.message) },
+        )
+    }
+
+    private fun onPromotion(target: Target, outcome: PromotionOutcome) {
+        log.belief("takeover", "promote_answer", "group", group.id.value, "outcome", outcome)
+        val now = phase
+        if (outcome != PromotionOutcome.NOT_RUNNING || now !is Phase.Promoting || now.target !== target) return
+        rejected += target.entry.id
+        phase = Phase.Surveying(now.record, startedAtMillis = timers.nowMillis())
+    }
+
+    private fun await(now: Phase.Promoting, nowMillis: Long) {
+        if (nowMillis - now.sentAtMillis > PROMOTION_TIMEOUT_MILLIS) {
+            phase = Phase.Surveying(now.record, startedAtMillis = nowMillis)
+            return
+        }
+        val customer = customerName()
+        if (isBusy || customer == null || nowMillis - now.sentAtMillis < PROMOTION_FIRST_LOOK_MILLIS) return
+        isBusy = true
+        now.target.status(customer) { status, _ ->
+            isBusy = false
+            if (phase === now && status != null && status.isPrimary) publishAs(now.record, now.target, status.term)
+        }
+    }
+
+    private fun publishAs(record: GroupRecord, target: Target, term: Long) {
+        phase = Phase.Publishing(record, target.entry.id, term)
+        publish(phase as Phase.Publishing, timers.nowMillis())
+    }
+
+    private fun publish(now: Phase.Publishing, nowMillis: Long) {
+        if (isBusy || nowMillis < now.notBeforeMillis) return
+        isBusy = true
+        val record = now.record.copy(version = 0, primary = now.primary, isChanging = false, term = now.term)
+        store.writeRecord(record, expectedVersion = now.record.version).doFinally { isBusy = false }.subscribe(
+            { onPublished(now, record, it) },
+            { failure -> log.belief("takeover", "publish_failed", "reason", failure.message) },
+        )
+        now.notBeforeMillis = nowMillis + PUBLISH_RETRY_MILLIS
+    }
+
+    private fun onPublished(now: Phase.Publishing, record: GroupRecord, outcome: StoreWrite) {
+        if (outcome !is StoreWrite.Applied) {
+            log.belief("takeover", "publish_unsure", "group", group.id.value, "outcome", outcome)
+            fleet.refresh()
+            return
+        }
+        phase = Phase.Watching
+        changingVersion = outcome.version
+        if (now.primary != now.record.primary) toDemote[now.record.primary] = Demotion(now.term, timers.nowMillis())
+        toDemote.remove(now.primary)
+        standing.learn(listOf(record.copy(version = outcome.version)), Standing.NEVER)
+        log.belief(
+            "takeover", "published", "group", group.id.value, "primary", now.primary.value, "term", now.term,
+            "fence", record.fence,
+        )
+        fleet.heartbeat()
+    }
+
+    private fun demoteOld(nowMillis: Long) {
+        val customer = customerName() ?: return
+        val entries = toDemote.entries.iterator()
+        while (entries.hasNext()) {
+            val (id, demotion) = entries.next()
+            val target = group.targets.firstOrNull { it.entry.id == id }
+            if (target == null || nowMillis - demotion.sinceMillis > DEMOTE_MILLIS) {
+                entries.remove()
+            } else if (target.unreachableSinceMillis == null && nowMillis - demotion.triedAtMillis > DEMOTE_RETRY_MILLIS) {
+                demotion.triedAtMillis = nowMillis
+                target.demote(customer, demotion.term) { isDone -> if (isDone) toDemote.remove(id) }
+                return
+            }
+        }
+    }
+
+    private class Demotion(val term: Long, val sinceMillis: Long) {
+        var triedAtMillis = Standing.NEVER
+    }
+
+    private class Reason(
+        val text: String,
+        val isPlanned: Boolean,
+        val sinceMillis: Long,
+        val patienceMillis: Long,
+    )
+
+    private sealed interface Phase {
+        data object Watching : Phase
+
+        data object Claiming : Phase
+
+        class Draining(val record: GroupRecord, val untilMillis: Long) : Phase
+
+        class Surveying(val record: GroupRecord, val startedAtMillis: Long) : Phase
+
+        class Promoting(
+            val record: GroupRecord,
+            val target: Target,
+            val oldTerm: Long,
+            val sentAtMillis: Long,
+        ) : Phase
+
+        class Publishing(val record: GroupRecord, val primary: TargetId, val term: Long) : Phase {
+            var notBeforeMillis = Standing.NEVER
+        }
+    }
+
+    private companion object {
+        val UNKNOWN_TARGET = TargetId("-")
+        const val LOST_MILLIS = 500L
+        const val REFUSED_MILLIS = 150L
+        const val MISSING_MILLIS = 2_500L
+        const val PART = 0.35
+        const val PART_MILLIS = 500L
+        const val PEER_MILLIS = 900L
+        const val PROBE_MILLIS = 150L
+        const val RANK_STEP_MILLIS = 60L
+        const val STALLED_MILLIS = 3_000L
+        const val MARGIN_MILLIS = 50L
+        const val SURVEY_MILLIS = 800L
+        const val CATCH_UP_MILLIS = 700L
+        const val ALL_REPLICAS_MILLIS = 8_000L
+        const val PROMOTE_PROOF_MILLIS = 700L
+        const val PROMOTION_TIMEOUT_MILLIS = 2_500L
+        const val PROMOTION_FIRST_LOOK_MILLIS = 200L
+        const val PUBLISH_RETRY_MILLIS = 200L
+        const val RETRY_PAUSE_MILLIS = 300L
+        const val GIVE_UP_PAUSE_MILLIS = 4_000L
+        const val DEMOTE_MILLIS = 20_000L
+        const val DEMOTE_RETRY_MILLIS = 400L
+    }
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
@@ -0,0 +1,26 @@
+package dev.cardamomlane.engine.group
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.TargetId
+
+/**
+ * Who may take the writes of one database group, as the platform's store holds it.
+ *
+ * @property version the row's version in the store; 0 when there is no row yet
+ * @property fence rises with each takeover; sent with every promotion
+ * @property primary the target that takes writes, or the one that did before the takeover under way
+ * @property isChanging true from the start of a takeover until the new primary is published
+ * @property isPlanned true when the old primary still works, so that open transactions may finish first
+ * @property holder the host that leads or led the takeover
+ * @property term the log term of [primary], or 0 when unknown
+ */
+public data class GroupRecord(
+    val group: DatabaseId,
+    val version: Long,
+    val fence: Long,
+    val primary: TargetId,
+    val isChanging: Boolean,
+    val isPlanned: Boolean,
+    val holder: String,
+    val term: Long,
+)
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/AdmissionGate.kt
@@ -0,0 +1,10 @@
+package dev.cardamomlane.engine.session
+
+import dev.cardamomlane.core.limits.Admission
+import dev.cardamomlane.engine.config.Customer
+
+/** Decides whether one operation of a customer may run now. */
+public fun interface AdmissionGate {
+    /** Takes one token of [customer], or says why not. */
+    public fun admit(customer: Customer): Admission
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/Statement.kt
@@ -0,0 +1,35 @@
+package dev.cardamomlane.engine.statement
+
+/**
+ * One statement of a caller, read as far as the proxy must.
+ *
+ * Payloads are opaque: what a target runs is forwarded as the caller sent it.
+ */
+public sealed interface Statement {
+    /** Starts a transaction. */
+    public data class Begin(val isReadOnly: Boolean) : Statement
+
+    /** Commits the open transaction. */
+    public data object Commit : Statement
+
+    /** Rolls the open transaction back. */
+    public data object Rollback : Statement
+
+    /** Runs [text] as it is. */
+    public data class Run(val access: Access, val text: String) : Statement
+
+    /** Runs the prepared statement [name] with [arguments]. */
+    public data class Execute(val name: String, val arguments: String) : Statement
+
+    /** Sets a session value. */
+    public data class SetValue(val name: String, val value: String) : Statement
+
+    /** Prepares [plan] under [name]. */
+    public data class Prepare(val name: String, val plan: PreparedPlan) : Statement
+
+    /** Forgets the prepared statement [name]. */
+    public data class Close(val name: String) : Statement
+
+    /** A statement that can't be read. */
+    public data class Unreadable(val reason: String) : Statement
+}
--- a/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/platform/DynamoAdapterTest.kt
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/platform/DynamoAdapterTest.kt
@@ -1,11 +1,11 @@
 package dev.cardamomlane.standin.platform
 
-import dev.cardamomlane.platform.ConditionalWrite
-import dev.cardamomlane.platform.DynamoPlatformTable
-import dev.cardamomlane.platform.DynamoSettings
-import dev.cardamomlane.platform.PlatformUnavailableException
-import dev.cardamomlane.platform.Row
-import dev.cardamomlane.platform.WriteOutcome
+import dev.cardamomlane.store.ConditionalWrite
+import dev.cardamomlane.store.DynamoPlatformTable
+import dev.cardamomlane.store.DynamoSettings
+import dev.cardamomlane.store.PlatformUnavailableException
+import dev.cardamomlane.store.Row
+import dev.cardamomlane.store.WriteOutcome
 import dev.cardamomlane.standin.settings.SocketAddress
 import kotlinx.collections.immutable.persistentListOf
 import java.net.URI
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/AcceptOutcome.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/AcceptOutcome.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 /** What became of [ConfigurationStore.accept]. */
 public enum class AcceptOutcome {
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/ConditionalWrite.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConditionalWrite.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 /**
  * A write of one row that takes effect only while the row has the expected version.
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/ConfigurationHead.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConfigurationHead.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 /**
  * Which revisions stand at the head of the configuration.
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/ConfigurationStore.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConfigurationStore.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import arrow.core.Either
 import arrow.core.left
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/Draft.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/Draft.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import dev.cardamomlane.core.keys.KeyRecord
 import kotlinx.collections.immutable.ImmutableList
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/DynamoClient.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/DynamoClient.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import reactor.core.publisher.Mono
 import software.amazon.awssdk.auth.credentials.AwsBasicCredentials
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/DynamoItems.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/DynamoItems.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import software.amazon.awssdk.services.dynamodb.model.AttributeValue
 import software.amazon.awssdk.services.dynamodb.model.TransactWriteItem
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/HostList.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/HostList.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import kotlinx.collections.immutable.ImmutableList
 import reactor.core.publisher.Mono
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/HttpHostList.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/HttpHostList.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import dev.cardamomlane.core.AvailabilityZone
 import dev.cardamomlane.core.HostId
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/MemoryHostList.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/MemoryHostList.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/ProposalRefusal.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ProposalRefusal.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 /** Why a draft did not become a proposal. Nothing was written. */
 public sealed interface ProposalRefusal {
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/Row.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/Row.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 /**
  * One row of the [PlatformTable].
--- a/cardamomlane-platform/src/main/kotlin/dev/cardamomlane/platform/RowKeys.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/RowKeys.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 internal object RowKeys {
     fun requireValid(key: String) {
--- a/cardamomlane-platform/src/test/kotlin/dev/cardamomlane/platform/DynamoAnswerer.kt
+++ b/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/DynamoAnswerer.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
--- a/cardamomlane-platform/src/test/kotlin/dev/cardamomlane/platform/DynamoPlatformTableTest.kt
+++ b/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/DynamoPlatformTableTest.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import org.junit.jupiter.api.AfterAll
 import kotlin.test.Test
--- a/cardamomlane-platform/src/test/kotlin/dev/cardamomlane/platform/PlatformTableContract.kt
+++ b/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/PlatformTableContract.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.store
 
 import kotlinx.collections.immutable.persistentListOf
 import reactor.core.publisher.Mono
