Engine: datagrams carry every field, so shares are lent between hosts

Ruled out: members (all eight knew each other), standing (heartbeats arrived). Change: defaults are encoded; PeerCodecTest fails without it.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerCodec.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerCodec.kt
@@ -10,6 +10,7 @@
     private val cbor = Cbor {
         useDefiniteLengthEncoding = true
         ignoreUnknownKeys = true
+        encodeDefaults = true
     }
 
     /** The bytes of [message]. */
