Engine: a write that ran is never told as not run

Change: a run remembers that a statement was sent. CallerSessionTest has the case and fails without the change.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -210,6 +210,7 @@
             target.take(connection)
             waiting.remove(work)
             val isAtPrimary = target === primary && need is ReadNeed.Primary
+            if (!isAtPrimary && target === primary) warmReplica(work, usable)
             work.run(target, connection, if (isAtPrimary) null else (need as ReadNeed.AnyHolding).position)
         } else if (nowMillis - work.dialedAtMillis > DIAL_PATIENCE_MILLIS) {
             val target = usable.filter { it.hasSlot() }.minByOrNull(::cost) ?: return
@@ -217,6 +218,12 @@
         }
     }
 
+    /** Opens a connection to a replica for reads that go to the primary only because it has an idle one. */
+    private fun warmReplica(work: Work, usable: List<Target>) {
+        val replica = usable.filter { it !== primary && it.connectionCount < it.connectionShare }.minByOrNull(::cost)
+        if (replica != null && replica.dialingCount(work.customerName) == 0) replica.dial(work.customerName)
+    }
+
     private fun candidates(work: Work, need: ReadNeed, nowMillis: Long): List<Target> = when (need) {
         is ReadNeed.Primary ->
             if (isPrimaryUsable()) listOfNotNull(primary).filter { !work.avoids(it, nowMillis) } else emptyList()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SingleRun.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SingleRun.kt
@@ -31,6 +31,7 @@
     private var work: Work? = null
     private var isOver = false
     private var isHedged = false
+    private var wasSent = false
     private var timer: TimerSubscription? = null
 
     /** Starts, and ends by calling `done` once. */
@@ -65,7 +66,6 @@
 
     private fun onTimeout() {
         if (isOver) return
-        val wasSent = attempts.any { it.isSent }
         for (attempt in attempts.toList()) attempt.drop()
         finish(
             when {
@@ -101,6 +101,7 @@
             val mustLead = after == null
             if (mustLead && !group.isPrimaryUsable()) return notRun(NO_PAUSE_MILLIS)
             isSent = true
+            wasSent = true
             if (statement.access == Access.WRITE) group.sent(this) else hedgeLater()
             connection.execute(statement.toTarget(after)) { answer -> onAnswer(answer) }
         }
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -0,0 +1,160 @@
+package dev.cardamomlane.engine
+
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.statement.StatementError
+import dev.cardamomlane.engine.statement.TargetAnswer
+import dev.cardamomlane.engine.statement.TargetStatement
+import dev.cardamomlane.engine.statement.TransactionState
+import dev.cardamomlane.engine.target.TargetDialer
+import dev.cardamomlane.engine.target.TargetEntry
+import dev.cardamomlane.engine.target.TargetLink
+import dev.cardamomlane.engine.target.TargetLinkListener
+import dev.cardamomlane.engine.target.TargetStatus
+
+/** A group of targets in memory: one log, replicas that apply what a test lets them, and faults. */
+class FakeTargets(private val timers: TimerService) : TargetDialer {
+    private val targetsById = HashMap<String, FakeTarget>()
+
+    /** Every connection that was asked for, in order. */
+    val links = ArrayList<FakeLink>()
+
+    fun target(id: String): FakeTarget = targetsById.getOrPut(id) { FakeTarget(id) }
+
+    override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink {
+        val link = FakeLink(target(target.id.value), customerName, listener, timers)
+        links += link
+        link.open()
+        return link
+    }
+
+    override fun readStatus(answer: TargetAnswer): TargetStatus? = answer.rows.firstOrNull()?.split(' ')?.let {
+        TargetStatus(
+            isPrimary = it[0] == "primary",
+            term = it[1].toLong(),
+            received = LogPosition(it[1].toLong(), it[2].toLong()),
+            applied = answer.position!!,
+            lagMillis = 0,
+            busyCount = 0,
+            connectionCount = 0,
+        )
+    }
+}
+
+/** One target. [answersInMillis] is how long each statement takes. */
+class FakeTarget(val id: String) {
+    var isPrimary = false
+    var isDown = false
+    var isSilent = false
+    var position = LogPosition(1, 1)
+    var answersInMillis = 5L
+    val ran = ArrayList<String>()
+
+    /** Answers the next statements with these codes, without running them. */
+    val refusals = ArrayDeque<ErrorCode>()
+
+    /** How many of the next answers are lost after the statement ran. */
+    var lostAnswers = 0
+}
+
+/** One connection to a [FakeTarget]. */
+class FakeLink(
+    val target: FakeTarget,
+    val customerName: String,
+    private val listener: TargetLinkListener,
+    private val timers: TimerService,
+) : TargetLink {
+    private var isClosed = false
+    private var state = TransactionState.IDLE
+    val values = HashMap<String, String>()
+    val sent = ArrayList<TargetStatement>()
+
+    fun open() {
+        timers.after(CONNECT_MILLIS) {
+            if (isClosed || target.isSilent) return@after
+            if (target.isDown) cut() else listener.onOpened(target.position)
+        }
+    }
+
+    /** The connection breaks. */
+    fun cut() {
+        if (isClosed) return
+        isClosed = true
+        listener.onClosed()
+    }
+
+    override fun send(statement: TargetStatement) {
+        sent += statement
+        timers.after(target.answersInMillis) { if (!isClosed && !target.isSilent) answer(statement) }
+    }
+
+    private fun answer(statement: TargetStatement) {
+        val refusal = if (statement.runsAtTarget()) target.refusals.removeFirstOrNull() else null
+        if (refusal != null) return reply(error = StatementError(refusal, "test"))
+        val after = statement.after()
+        if (after != null && target.position < after) return reply(error = StatementError(ErrorCode.LAGGING, "test"))
+        run(statement)
+        if (statement.runsAtTarget() && target.lostAnswers > 0) {
+            target.lostAnswers--
+            return
+        }
+        reply(digest = "digest", rows = rows(statement))
+    }
+
+    private fun run(statement: TargetStatement) {
+        when (statement) {
+            is TargetStatement.Run -> ranText(statement.text)
+            is TargetStatement.Execute -> ranText("${statement.name} ${statement.arguments}")
+            is TargetStatement.Begin -> state = TransactionState.OPEN
+            is TargetStatement.Commit -> {
+                target.ran += "COMMIT"
+                state = TransactionState.IDLE
+                target.position = target.position.copy(offset = target.position.offset + 1)
+            }
+            is TargetStatement.Rollback -> {
+                target.ran += "ROLLBACK"
+                state = TransactionState.IDLE
+            }
+            is TargetStatement.SetValue -> values[statement.name] = statement.value
+            is TargetStatement.Reset -> values.clear()
+            else -> Unit
+        }
+    }
+
+    private fun ranText(text: String) {
+        target.ran += text
+        val isWrite = text.startsWith("WRITE") || text.startsWith("w_")
+        if (isWrite && state == TransactionState.IDLE) {
+            target.position = target.position.copy(offset = target.position.offset + 1)
+        }
+    }
+
+    private fun rows(statement: TargetStatement): List<String> = if (statement is TargetStatement.Status) {
+        listOf("${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}")
+    } else {
+        emptyList()
+    }
+
+    private fun reply(rows: List<String> = emptyList(), digest: String? = null, error: StatementError? = null) {
+        listener.onAnswer(TargetAnswer(rows, digest, error, state, target.position))
+    }
+
+    override fun close() {
+        isClosed = true
+    }
+
+    private fun TargetStatement.runsAtTarget(): Boolean =
+        this is TargetStatement.Run || this is TargetStatement.Execute || this is TargetStatement.Commit
+
+    private fun TargetStatement.after(): LogPosition? = when (this) {
+        is TargetStatement.Run -> after
+        is TargetStatement.Execute -> after
+        is TargetStatement.Begin -> after
+        else -> null
+    }
+
+    private companion object {
+        const val CONNECT_MILLIS = 2L
+    }
+}
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -0,0 +1,131 @@
+package dev.cardamomlane.engine
+
+import dev.cardamomlane.core.CustomerId
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.ManualTimerService
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.limits.Allowance
+import dev.cardamomlane.engine.config.Configuration
+import dev.cardamomlane.engine.config.Consistency
+import dev.cardamomlane.engine.config.Customer
+import dev.cardamomlane.engine.config.GroupPolicy
+import dev.cardamomlane.engine.config.Route
+import dev.cardamomlane.engine.fleet.Member
+import dev.cardamomlane.engine.fleet.PeerMessage
+import dev.cardamomlane.engine.fleet.PromotionOutcome
+import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.session.CallerSession
+import dev.cardamomlane.engine.statement.CallerAnswer
+import dev.cardamomlane.engine.statement.Statement
+import dev.cardamomlane.engine.target.TargetEntry
+import kotlinx.collections.immutable.toImmutableMap
+import reactor.core.publisher.Mono
+
+/** Hosts, targets and a store in manual time. */
+class HostFixture(hostCount: Int = 1) {
+    val timers = ManualTimerService()
+    val targets = FakeTargets(timers)
+    val store = FakeStore()
+    val promotions = ArrayList<Pair<String, Long>>()
+    val cutHosts = HashSet<String>()
+    val hosts: List<ProxyHost>
+    private val hostsByAddress = HashMap<String, ProxyHost>()
+
+    init {
+        targets.target("p").isPrimary = true
+        hosts = List(hostCount) { host("host-$it") }
+        hosts.forEach {
+            it.configure(configuration(version = 1))
+            it.listTargets(listOf(entry("p", isPrimary = true), entry("r1"), entry("r2")))
+            it.start()
+        }
+        timers.advance(1_000)
+    }
+
+    private fun host(name: String): ProxyHost {
+        val host = ProxyHost(
+            self = Member(name, incarnation = 1, address = name, snapshotAddress = name),
+            zone = "a",
+            timers = timers,
+            dialer = targets,
+            store = store,
+            network = { address, message -> deliver(name, address, message) },
+            promotion = { _, target, _, fence -> Mono.fromSupplier { promote(target.value, fence) } },
+            log = DecisionLog.None,
+            meter = { _, _, _ -> },
+        )
+        hostsByAddress[name] = host
+        return host
+    }
+
+    private fun deliver(from: String, to: String, message: PeerMessage) {
+        if (from in cutHosts || to in cutHosts) return
+        timers.after(1) { hostsByAddress[to]?.onPeerMessage(message) }
+    }
+
+    private fun promote(id: String, fence: Long): PromotionOutcome {
+        promotions += id to fence
+        val target = targets.target(id)
+        timers.after(PROMOTE_MILLIS) {
+            target.isPrimary = true
+            target.position = target.position.copy(term = target.position.term + 1)
+        }
+        return PromotionOutcome.ACCEPTED
+    }
+
+    fun entry(id: String, isPrimary: Boolean = false, isDraining: Boolean = false) = TargetEntry(
+        id = TargetId(id),
+        group = DatabaseId("g"),
+        address = id,
+        zone = "a",
+        slotCount = 5,
+        isDraining = isDraining,
+        isPrimary = isPrimary,
+        bornAtMillis = 1,
+    )
+
+    fun configuration(version: Long, key: String = "key", databases: Set<String> = setOf("latest", "bounded", "session")) =
+        Configuration(
+            version = version,
+            routes = databases.associateWith(::route).toImmutableMap(),
+            customersByKey = mapOf(key to Customer(CustomerId("press"), Allowance(1_000.0, 1_000.0))).toImmutableMap(),
+            groups = mapOf(DatabaseId("g") to GroupPolicy(DatabaseId("g"), 40, false)).toImmutableMap(),
+            transactionIdleMillis = 3_000,
+        )
+
+    private fun route(name: String) = Route(
+        name = name,
+        group = DatabaseId("g"),
+        consistency = when (name) {
+            "bounded" -> Consistency.BOUNDED
+            "session" -> Consistency.SESSION
+            else -> Consistency.LATEST
+        },
+        maxStaleMillis = 1_500,
+        timeoutMillis = 1_000,
+        goalMillis = 400,
+        priority = 1,
+        isOpen = false,
+    )
+
+    /** Opens a session; fails the test when it is refused. */
+    fun open(caller: FakeCaller, database: String = "latest", host: Int = 0): CallerSession =
+        checkNotNull(hosts[host].openSession(caller, database, "key")) { "refused: ${caller.refusal}" }
+
+    /** Sends a statement, lets [millis] pass and returns the caller's last answer. */
+    fun ask(session: CallerSession, caller: FakeCaller, statement: Statement, millis: Long = 100): CallerAnswer? {
+        val before = caller.answers.size
+        session.onStatement("id-$before", statement)
+        timers.advance(millis)
+        return caller.answers.getOrNull(before)
+    }
+
+    /** Applies the primary's log at the replicas. */
+    fun replicate() {
+        for (id in listOf("r1", "r2")) targets.target(id).position = targets.target("p").position
+    }
+
+    private companion object {
+        const val PROMOTE_MILLIS = 300L
+    }
+}
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -0,0 +1,102 @@
+package dev.cardamomlane.engine.fleet
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.engine.FakeCaller
+import dev.cardamomlane.engine.HostFixture
+import dev.cardamomlane.engine.statement.Access
+import dev.cardamomlane.engine.statement.Statement
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class TakeoverTest {
+    private val fixture = HostFixture(hostCount = 3)
+    private val write = Statement.Run(Access.WRITE, "WRITE 1 x")
+
+    private fun primaryIds() = fixture.hosts.map { it.group(DatabaseId("g"))?.primary?.entry?.id?.value }
+
+    /** Every host uses the primary, so that each notices when it is gone. */
+    private fun useEverywhere() {
+        for (index in fixture.hosts.indices) {
+            val caller = FakeCaller()
+            fixture.open(caller, host = index).onStatement("w$index", write)
+        }
+    }
+
+    private fun lose(id: String) {
+        val target = fixture.targets.target(id)
+        target.isDown = true
+        fixture.targets.links.filter { it.target === target }.forEach { it.cut() }
+    }
+
+    @Test
+    fun `a primary that is gone is replaced by the replica that holds most, under one fence`() {
+        useEverywhere()
+        fixture.timers.advance(200)
+        fixture.targets.target("r1").position = LogPosition(1, 2)
+        fixture.targets.target("r2").position = LogPosition(1, 3)
+        lose("p")
+        useEverywhere()
+
+        fixture.timers.advance(4_000)
+
+        assertEquals(listOf("r2" to 1L), fixture.promotions)
+        assertEquals(listOf<String?>("r2", "r2", "r2"), primaryIds())
+        val caller = FakeCaller()
+        assertNull(fixture.ask(fixture.open(caller), caller, write)?.error)
+    }
+
+    @Test
+    fun `a primary that one host alone can't reach stays`() {
+        useEverywhere()
+        fixture.timers.advance(200)
+
+        fixture.timers.advance(4_000)
+
+        assertTrue(fixture.promotions.isEmpty())
+    }
+
+    @Test
+    fun `a primary that leaves is replaced once a replica has caught up, and no write is lost`() {
+        useEverywhere()
+        fixture.timers.advance(200)
+        val entries = listOf(fixture.entry("p", isPrimary = true, isDraining = true), fixture.entry("r1"), fixture.entry("r2"))
+        fixture.hosts.forEach { it.listTargets(entries) }
+        fixture.timers.advance(300)
+        assertTrue(fixture.promotions.isEmpty(), "no replica has caught up yet")
+        fixture.replicate()
+
+        fixture.timers.advance(2_000)
+
+        assertEquals(1, fixture.promotions.size)
+        assertTrue(primaryIds().all { it == fixture.promotions.single().first })
+    }
+
+    @Test
+    fun `a host that is cut off stops writing before another primary is in place`() {
+        useEverywhere()
+        fixture.timers.advance(200)
+        val caller = FakeCaller()
+        val session = fixture.open(caller, host = 2)
+        fixture.cutHosts += "host-2"
+        fixture.store.isDown = true
+        fixture.timers.advance(Standing.MAX_AGE_MILLIS + 100)
+
+        session.onStatement("late", write)
+        fixture.timers.advance(2_000)
+
+        assertTrue(caller.answers.single().error?.code?.isNotRun == true)
+    }
+
+    @Test
+    fun `the word of every other host is proof while nobody reaches the store`() {
+        useEverywhere()
+        fixture.store.isDown = true
+        fixture.timers.advance(6_000)
+        val caller = FakeCaller()
+
+        assertNull(fixture.ask(fixture.open(caller), caller, write)?.error)
+    }
+}
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/ReadRoutingTest.kt
@@ -0,0 +1,73 @@
+package dev.cardamomlane.engine.group
+
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.engine.FakeCaller
+import dev.cardamomlane.engine.HostFixture
+import dev.cardamomlane.engine.statement.Access
+import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.statement.Statement
+import dev.cardamomlane.engine.statement.TargetStatement
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class ReadRoutingTest {
+    private val fixture = HostFixture()
+    private val caller = FakeCaller()
+    private val read = Statement.Run(Access.READ, "READ 1")
+    private val write = Statement.Run(Access.WRITE, "WRITE 1 x")
+
+    private fun positionsAsked(): List<LogPosition?> =
+        fixture.targets.links.flatMap { it.sent }.filterIsInstance<TargetStatement.Run>()
+            .filter { it.text == "READ 1" }.map { it.after }
+
+    @Test
+    fun `a read of the latest state runs at the primary`() {
+        fixture.replicate()
+        val session = fixture.open(caller, database = "latest")
+
+        fixture.ask(session, caller, read)
+
+        assertEquals(listOf("READ 1"), fixture.targets.target("p").ran)
+    }
+
+    @Test
+    fun `a session's read asks for its own commit and runs where that is applied`() {
+        val session = fixture.open(caller, database = "session")
+        val committed = fixture.ask(session, caller, write)?.position
+        assertNotNull(committed)
+
+        val answer = fixture.ask(session, caller, read, millis = 500)
+
+        assertNull(answer?.error)
+        assertTrue(positionsAsked().all { it == null || it >= committed })
+        assertTrue(fixture.targets.target("r1").ran.isEmpty() && fixture.targets.target("r2").ran.isEmpty())
+    }
+
+    @Test
+    fun `a bounded read leaves the primary to others while replicas keep up`() {
+        val session = fixture.open(caller, database = "bounded")
+        fixture.ask(session, caller, Statement.Run(Access.WRITE, "WRITE 1 y"))
+        fixture.replicate()
+        fixture.timers.advance(500)
+
+        repeat(10) { fixture.ask(session, caller, read) }
+
+        val atReplicas = fixture.targets.target("r1").ran.size + fixture.targets.target("r2").ran.size
+        assertTrue(atReplicas >= 9, "$atReplicas of 10 reads ran at replicas")
+    }
+
+    @Test
+    fun `without proof that the primary still leads nothing is written and the refusal is true`() {
+        val session = fixture.open(caller)
+        fixture.store.isDown = true
+        fixture.timers.advance(3_000)
+
+        val answer = fixture.ask(session, caller, write, millis = 3_000)
+
+        assertEquals(ErrorCode.BUSY, answer?.error?.code)
+        assertTrue(fixture.targets.target("p").ran.isEmpty())
+    }
+}
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -0,0 +1,278 @@
+package dev.cardamomlane.engine.session
+
+import dev.cardamomlane.engine.FakeCaller
+import dev.cardamomlane.engine.HostFixture
+import dev.cardamomlane.engine.statement.Access
+import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.statement.PreparedPlan
+import dev.cardamomlane.engine.statement.Statement
+import dev.cardamomlane.engine.statement.TargetStatement
+import dev.cardamomlane.engine.statement.TransactionState
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class CallerSessionTest {
+    private val fixture = HostFixture()
+    private val caller = FakeCaller()
+    private val primary = fixture.targets.target("p")
+    private val read = Statement.Run(Access.READ, "READ 1")
+    private val write = Statement.Run(Access.WRITE, "WRITE 1 x")
+
+    private fun code(answer: dev.cardamomlane.engine.statement.CallerAnswer?) = answer?.error?.code
+
+    @Test
+    fun `a statement is forwarded as it came and answered with the target's digest`() {
+        val session = fixture.open(caller)
+
+        val answer = fixture.ask(session, caller, write)
+
+        assertEquals("digest", answer?.digest)
+        assertEquals(listOf("WRITE 1 x"), primary.ran)
+        assertEquals(TransactionState.IDLE, answer?.state)
+    }
+
+    @Test
+    fun `an unknown database and an unknown key are refused at the start`() {
+        assertNull(fixture.hosts[0].openSession(caller, "nowhere", "key"))
+        assertEquals(ErrorCode.UNKNOWN_DATABASE, caller.refusal?.code)
+        assertNull(fixture.hosts[0].openSession(caller, "latest", "other"))
+        assertEquals(ErrorCode.UNAUTHORIZED, caller.refusal?.code)
+    }
+
+    @Test
+    fun `a withdrawn key ends an open session at its next operation`() {
+        val session = fixture.open(caller)
+        fixture.hosts[0].configure(fixture.configuration(version = 2, key = "new"))
+
+        val answer = fixture.ask(session, caller, read)
+
+        assertEquals(ErrorCode.UNAUTHORIZED, code(answer))
+        assertTrue(caller.isClosed)
+        assertTrue(primary.ran.isEmpty())
+    }
+
+    @Test
+    fun `a removed database ends an open session at its next operation`() {
+        val session = fixture.open(caller)
+        fixture.hosts[0].configure(fixture.configuration(version = 2, databases = setOf("bounded")))
+
+        assertEquals(ErrorCode.UNKNOWN_DATABASE, code(fixture.ask(session, caller, read)))
+    }
+
+    @Test
+    fun `an older configuration never replaces a newer one`() {
+        fixture.hosts[0].configure(fixture.configuration(version = 5, key = "new"))
+        fixture.hosts[0].configure(fixture.configuration(version = 4, key = "key"))
+
+        assertNull(fixture.hosts[0].openSession(caller, "latest", "key"))
+    }
+
+    @Test
+    fun `statements of a transaction run on one connection and its commit is the target's`() {
+        val session = fixture.open(caller)
+
+        assertEquals(TransactionState.OPEN, fixture.ask(session, caller, Statement.Begin(isReadOnly = false))?.state)
+        fixture.ask(session, caller, write)
+        fixture.ask(session, caller, read)
+        val answer = fixture.ask(session, caller, Statement.Commit)
+
+        assertEquals("digest", answer?.digest)
+        assertEquals(TransactionState.IDLE, answer?.state)
+        val used = fixture.targets.links.filter { link -> link.sent.any { it is TargetStatement.Run } }
+        assertEquals(1, used.size)
+        assertEquals(listOf("WRITE 1 x", "READ 1", "COMMIT"), primary.ran)
+    }
+
+    @Test
+    fun `a connection within a transaction serves nobody else`() {
+        val session = fixture.open(caller)
+        val other = FakeCaller()
+        val otherSession = fixture.open(other)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.ask(otherSession, other, Statement.Run(Access.READ, "READ 2"))
+
+        val used = fixture.targets.links.filter { link -> link.sent.any { it is TargetStatement.Run } }
+        assertEquals(2, used.size)
+    }
+
+    @Test
+    fun `a caller that leaves within a transaction has it rolled back`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.hosts[0].closeSession(session)
+        fixture.timers.advance(100)
+
+        assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
+    }
+
+    @Test
+    fun `session values are set before a statement and never leak to another session`() {
+        val session = fixture.open(caller)
+        val other = FakeCaller()
+        val otherSession = fixture.open(other)
+        fixture.ask(session, caller, Statement.SetValue("zone", "utc"))
+        fixture.ask(session, caller, read)
+        val used = fixture.targets.links.single { link -> link.sent.any { it is TargetStatement.Run } }
+        assertEquals(mapOf("zone" to "utc"), used.values.toMap())
+
+        fixture.ask(otherSession, other, Statement.Run(Access.READ, "READ 2"))
+
+        val serving = fixture.targets.links.single { link -> TargetStatement.Run("id-0", "READ 2", null) in link.sent }
+        assertTrue(serving.values.isEmpty())
+    }
+
+    @Test
+    fun `a prepared statement runs its own plan on any connection`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Prepare("s", PreparedPlan(Access.READ, "shape")))
+
+        val answer = fixture.ask(session, caller, Statement.Execute("s", "1"))
+
+        assertNull(answer?.error)
+        assertEquals(listOf("r_shape 1"), primary.ran)
+    }
+
+    @Test
+    fun `a prepared name that does not exist is refused`() {
+        val session = fixture.open(caller)
+
+        assertEquals(ErrorCode.UNKNOWN_STATEMENT, code(fixture.ask(session, caller, Statement.Execute("s", "1"))))
+    }
+
+    @Test
+    fun `a write that a target did not run is sent again`() {
+        for (refusal in listOf(ErrorCode.BUSY, ErrorCode.READ_ONLY, ErrorCode.UNKNOWN_STATEMENT)) {
+            val fixture = HostFixture()
+            val session = fixture.open(caller)
+            fixture.targets.target("p").refusals += refusal
+
+            val answer = fixture.ask(session, caller, write, millis = 300)
+
+            assertNotNull(answer, "$refusal")
+            assertNull(answer.error, "$refusal")
+            assertEquals(listOf("WRITE 1 x"), fixture.targets.target("p").ran)
+            caller.answers.clear()
+        }
+    }
+
+    @Test
+    fun `a write whose answer is lost has an unknown outcome and is not sent again`() {
+        val session = fixture.open(caller)
+        primary.lostAnswers = 1
+
+        val answer = fixture.ask(session, caller, write, millis = 3_000)
+
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, code(answer))
+        assertEquals(listOf("WRITE 1 x"), primary.ran)
+    }
+
+    @Test
+    fun `a write that ran while the proof of its primary lapsed is never told as not run`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, read)
+        primary.answersInMillis = 300
+        fixture.store.isDown = true
+        fixture.timers.advance(1_200)
+
+        val answer = fixture.ask(session, caller, write, millis = 3_000)
+
+        assertEquals(listOf("READ 1", "WRITE 1 x"), primary.ran)
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, code(answer))
+    }
+
+    @Test
+    fun `a commit whose connection breaks has an unknown outcome`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        val used = fixture.targets.links.single { link -> link.sent.any { it is TargetStatement.Run } }
+        session.onStatement("c", Statement.Commit)
+        fixture.timers.advance(1)
+
+        used.cut()
+        fixture.timers.advance(100)
+
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, code(caller.answers.last()))
+    }
+
+    @Test
+    fun `a transaction whose connection breaks before its commit is aborted, and ends with a rollback`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        fixture.targets.links.single { link -> link.sent.any { it is TargetStatement.Run } }.cut()
+
+        val answer = fixture.ask(session, caller, read)
+
+        assertEquals(ErrorCode.ABORTED, code(answer))
+        assertEquals(TransactionState.FAILED, answer?.state)
+        assertEquals(ErrorCode.MALFORMED, code(fixture.ask(session, caller, read)))
+        assertEquals(TransactionState.IDLE, fixture.ask(session, caller, Statement.Rollback)?.state)
+    }
+
+    @Test
+    fun `a read whose answer is lost is run at another target`() {
+        fixture.replicate()
+        val session = fixture.open(caller, database = "bounded")
+        for (id in listOf("p", "r1", "r2")) fixture.targets.target(id).lostAnswers = if (id == "r1") 1 else 0
+        fixture.targets.target("r2").lostAnswers = 0
+
+        val answer = fixture.ask(session, caller, read, millis = 900)
+
+        assertNull(answer?.error)
+        assertEquals("digest", answer?.digest)
+    }
+
+    @Test
+    fun `statements that do not fit the state are refused and change nothing`() {
+        val session = fixture.open(caller)
+
+        for (statement in listOf(Statement.Commit, Statement.Rollback, Statement.Unreadable("test"))) {
+            assertEquals(ErrorCode.MALFORMED, code(fixture.ask(session, caller, statement)))
+        }
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = true))
+        assertEquals(ErrorCode.MALFORMED, code(fixture.ask(session, caller, Statement.Begin(isReadOnly = true))))
+    }
+
+    @Test
+    fun `a session that rests is closed by a stop, and one in a transaction may finish`() {
+        val session = fixture.open(caller)
+        val busy = FakeCaller()
+        val busySession = fixture.open(busy)
+        fixture.ask(busySession, busy, Statement.Begin(isReadOnly = false))
+        var isStopped = false
+
+        fixture.hosts[0].stop(graceMillis = 5_000) { isStopped = true }
+        assertFalse(fixture.hosts[0].isReady())
+        fixture.timers.advance(1_800)
+
+        assertTrue(session.isIdle && caller.isClosed)
+        assertFalse(busy.isClosed)
+        fixture.ask(busySession, busy, Statement.Rollback)
+        assertTrue(busy.isClosed)
+        fixture.hosts[0].closeSession(session)
+        fixture.hosts[0].closeSession(busySession)
+        fixture.timers.advance(100)
+        assertTrue(isStopped)
+    }
+
+    @Test
+    fun `an idle transaction is ended and leaves nothing behind`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.timers.advance(4_000)
+
+        assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
+        assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, Statement.Commit)))
+    }
+}
