Engine: a restarted host has its share at once; a majority's word is proof; callers wait for a starting host

Change: shares start from the members that the store lists, and a host new to them leaves the others time; a takeover waits until a majority knew of it and then for the age bound, so the word of a majority is proof (not of all); a caller of a starting host waits up to 1.2 s; one whose rate admits it within a fifth of its goal waits for it.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -59,7 +59,8 @@
     private val sessions = LinkedHashSet<CallerSession>()
     private var entries: List<TargetEntry> = emptyList()
     private var basis: ShareBasis? = null
-    private var memberNames: Set<String> = setOf(self.name)
+    private var memberNames: Set<String> = emptySet()
+    private val waitingSessions = ArrayList<CallerSession>()
     private var stoppingSinceMillis: Long? = null
     private var configuredAtMillis = Standing.NEVER
 
@@ -86,10 +87,12 @@
             val nowMillis = timers.nowMillis()
             limits.onMessage(from, message, standing.isCurrent(nowMillis), nowMillis)
         }
-        fleet.onMembers { names ->
+        fleet.onMembers { names, wasListed ->
+            if (basis == null && !wasListed) basis = shareBasis(names - self.name)
             memberNames = names
             installShares()
             updateGroups()
+            admitWaiting()
         }
     }
 
@@ -118,12 +121,14 @@
         )
         installShares()
         updateGroups()
+        admitWaiting()
     }
 
     /** Replaces the list of targets. */
     public fun listTargets(newer: List<TargetEntry>) {
         entries = newer
         updateGroups()
+        admitWaiting()
     }
 
     override fun group(id: DatabaseId): DatabaseGroup? = groups[id]
@@ -132,13 +137,36 @@
         meter.count(route, outcome, tookMillis)
     }
 
-    /** Opens a session for a caller, or refuses it over [link] and returns null. */
-    public fun openSession(link: CallerLink, database: String, key: String?): CallerSession? =
-        CallerSession.open(this, link, database, key)?.also { sessions += it }
+    /**
+     * Opens a session for a caller. While this host still learns whom it may serve, the caller waits for a moment;
+     * a caller that can't be served is refused over [link].
+     */
+    public fun openSession(link: CallerLink, database: String, key: String?): CallerSession {
+        val session = CallerSession(this, link, database, key)
+        sessions += session
+        if (canServe()) {
+            session.open()
+        } else {
+            waitingSessions += session
+            timers.after(OPEN_WAIT_MILLIS) { if (waitingSessions.remove(session)) session.open() }
+        }
+        return session
+    }
+
+    private fun canServe(): Boolean = configuration.version >= 0 && memberNames.isNotEmpty() &&
+        groups.values.any { it.targets.isNotEmpty() }
+
+    private fun admitWaiting() {
+        if (waitingSessions.isEmpty() || !canServe()) return
+        val waiting = waitingSessions.toList()
+        waitingSessions.clear()
+        waiting.forEach { it.open() }
+    }
 
     /** The caller of [session] has left, or was let go. */
     public fun closeSession(session: CallerSession) {
         sessions -= session
+        waitingSessions -= session
         session.onClosed()
     }
 
@@ -263,23 +291,31 @@
 
     /** Puts shares in force that add up to at most the limits, also while some hosts still use the ones before. */
     private fun installShares() {
-        val limited = configuration.customersByKey.values.distinct()
-            .mapNotNull { customer -> customer.allowance?.let { customer.id to it } }
-        val fresh = ShareBasis(
-            members = memberNames.sorted().map { Fleet.memberId(it) }.toImmutableList(),
-            limits = limited.toMap<CustomerId, Allowance>().toImmutableMap(),
-        )
+        if (memberNames.isEmpty()) return
         val old = basis
+        val fresh = shareBasis(memberNames)
         basis = fresh
         val nowMillis = timers.nowMillis()
-        if (old == null || old.limits.isEmpty()) return limits.install(ShareTable(persistentListOf(fresh)), nowMillis)
+        if (old == null || old.members.isEmpty() || old.limits.isEmpty()) {
+            return limits.install(ShareTable(persistentListOf(fresh)), nowMillis)
+        }
         limits.install(ShareTable(persistentListOf(old, fresh)), nowMillis)
         timers.after(SHARE_CHANGE_MILLIS) {
             if (basis === fresh) limits.install(ShareTable(persistentListOf(fresh)), timers.nowMillis())
         }
     }
 
+    private fun shareBasis(names: Set<String>): ShareBasis {
+        val limited = configuration.customersByKey.values.distinct()
+            .mapNotNull { customer -> customer.allowance?.let { customer.id to it } }
+        return ShareBasis(
+            members = names.sorted().map { Fleet.memberId(it) }.toImmutableList(),
+            limits = limited.toMap<CustomerId, Allowance>().toImmutableMap(),
+        )
+    }
+
     public companion object {
+        private const val OPEN_WAIT_MILLIS = 1_200L
         private const val TICK_MILLIS = 40L
         private const val STOP_POLL_MILLIS = 50L
         private const val STILL_SERVING_MILLIS = 2_200L
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -6,13 +6,14 @@
 import dev.cardamomlane.core.limits.ShareMessage
 import dev.cardamomlane.core.limits.ShareOutbox
 import dev.cardamomlane.engine.log.DecisionLog
+import kotlin.random.Random
 
 /**
  * This host's view of the other hosts: who they are, what they know, and the proof that passes between them.
  *
  * Each host reads the store when its proof grows old, and tells its proof to the others with its heartbeats, so that
  * few hosts read and a host that the store turns away lives on the word of the others. While nobody reaches the
- * store, the word of every member that it has begun no takeover is proof as well.
+ * store, the word of a majority of the members that they know of no takeover is proof as well.
  *
  * Not safe for use by several threads.
  */
@@ -27,8 +28,9 @@
 ) : ShareOutbox {
     private var rows: Map<String, MemberRow> = emptyMap()
     private val peersByName = sortedMapOf<String, Peer>()
-    private val readiness = StoreReading(timers, store, log, ::onRows)
-    private val membersListeners = ArrayList<(Set<String>) -> Unit>()
+    private val readiness = StoreReading(timers, store, log, Random(self.name.hashCode() + self.incarnation), ::onRows)
+    private val membersListeners = ArrayList<(Set<String>, Boolean) -> Unit>()
+    private var hasRows = false
     private var isRegistering = false
     private var registeredAtMillis = Standing.NEVER
     private var membersHash = 0
@@ -45,13 +47,16 @@
     /** How many hosts there are, this one included. */
     public val size: Int get() = peersByName.size + 1
 
+    /** How many members are more than half. */
+    public val majority: Int get() = size / 2 + 1
+
     /** The newest configuration that a peer knows, and the peer. */
     public fun newestConfigurationAt(): Pair<Member, Long>? =
         peersByName.values.mapNotNull { peer -> peer.last?.let { peer.member to it.configurationVersion } }
             .maxByOrNull { it.second }
 
-    /** Calls [listener] with the names of all members after each change. */
-    public fun onMembers(listener: (Set<String>) -> Unit) {
+    /** Calls [listener] with the names of all members after each change, and whether the store listed this host. */
+    public fun onMembers(listener: (names: Set<String>, wasListed: Boolean) -> Unit) {
         membersListeners += listener
     }
 
@@ -64,7 +69,7 @@
     public fun tick() {
         heartbeat()
         val nowMillis = timers.nowMillis()
-        learnFromSilence(nowMillis)
+        learnFromMajority(nowMillis)
         readiness.refresh(standing.provedAtMillis)
         if (!isRegistered && nowMillis - registeredAtMillis > REGISTER_MILLIS) register(nowMillis)
         dropDead(nowMillis)
@@ -129,11 +134,16 @@
             it.isHeard(nowMillis, HEARD_MILLIS) && it.last?.membersHash != membersHash
         }
 
-    private fun learnFromSilence(nowMillis: Long) {
-        if (!isRegistered || peersByName.isEmpty()) return
-        val agreeing = peersByName.values.all { it.last?.membersHash == membersHash }
-        if (!agreeing) return
-        val sinceMillis = peersByName.values.minOf { it.spokeAtMillis }
+    /**
+     * A takeover promotes only a while after a majority knew of it. So the word of a majority, this host included, is
+     * proof as old as the oldest word in it.
+     */
+    private fun learnFromMajority(nowMillis: Long) {
+        if (!isRegistered) return
+        val words = peersByName.values.filter { it.last?.membersHash == membersHash }.map { it.spokeAtMillis }
+        val needed = majority - 1
+        if (needed == 0 || words.size < needed) return
+        val sinceMillis = words.sortedDescending()[needed - 1]
         if (nowMillis - sinceMillis < Standing.MAX_AGE_MILLIS) standing.learn(emptyList(), sinceMillis)
     }
 
@@ -142,7 +152,8 @@
         this.rows = rows.members.associateBy { it.member.name }
         val members = rows.members.map { it.member }.filter { it.name != self.name }
         val names = members.mapTo(HashSet()) { it.name }
-        val before = peersByName.keys.toSet()
+        val before = if (hasRows) peersByName.keys.toSet() else null
+        val wasListed = rows.members.any { it.member.name == self.name }
         peersByName.keys.retainAll(names)
         for (member in members) {
             if (peersByName[member.name]?.member != member) peersByName[member.name] = Peer(member)
@@ -151,7 +162,8 @@
         membersHash = (names + self.name).sorted().hashCode()
         if (peersByName.keys != before) {
             log.belief("fleet", "members_changed", "count", size, "members", (names + self.name).sorted().joinToString(" "))
-            membersListeners.forEach { it(names + self.name) }
+            membersListeners.forEach { it(names + self.name, wasListed) }
+            hasRows = true
             heartbeat()
         }
     }
@@ -170,7 +182,7 @@
     }
 
     private fun dropDead(nowMillis: Long) {
-        if (!standing.isCurrent(nowMillis) || rank(nowMillis) != 0) return
+        if (!standing.isCurrent(nowMillis) || rank(nowMillis) != 0 || heardCount(nowMillis) < majority) return
         val names = memberNames()
         for (peer in peersByName.values) {
             if (peer.isHeard(nowMillis, DEAD_MILLIS) || wasAddedLately(peer, nowMillis)) continue
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreReading.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreReading.kt
@@ -13,9 +13,9 @@
     private val timers: TimerService,
     private val store: ControlStore,
     private val log: DecisionLog,
+    private val random: Random,
     private val onRows: (ControlRows, Long) -> Unit,
 ) {
-    private val random = Random.Default
     private var isAsking = false
     private var isWanted = false
     private var askedAtMillis = Standing.NEVER
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -179,7 +179,7 @@
         standing.learn(listOf(claimed), Standing.NEVER)
         changingVersion = claimed.version
         rejected.clear()
-        phase = Phase.Draining(claimed, untilMillis = timers.nowMillis() + Standing.MAX_AGE_MILLIS + MARGIN_MILLIS)
+        phase = Phase.Draining(claimed, claimedAtMillis = timers.nowMillis())
         fleet.heartbeat()
     }
 
@@ -194,11 +194,22 @@
         val isConfirmed = group.hasConfirmed(now.record.version) && fleet.peers.all { peer ->
             (peer.note(group.id.value)?.confirmedVersion ?: 0) >= now.record.version
         }
-        if (!isConfirmed && nowMillis < now.untilMillis) return
+        if (!isConfirmed && !isWaitOver(now, nowMillis)) return
         log.belief("takeover", "drained", "group", group.id.value, "is_confirmed", isConfirmed)
         phase = Phase.Surveying(now.record, startedAtMillis = nowMillis)
     }
 
+    /**
+     * True when proof that hosts got before they knew of the claim counts no more: proof of the store since the claim,
+     * proof by the word of others since a majority knew.
+     */
+    private fun isWaitOver(now: Phase.Draining, nowMillis: Long): Boolean {
+        val knowing = 1 + fleet.peers.count { (it.note(group.id.value)?.version ?: 0) >= now.record.version }
+        if (now.majorityKnewAtMillis == null && knowing >= fleet.majority) now.majorityKnewAtMillis = nowMillis
+        val majorityKnewAtMillis = now.majorityKnewAtMillis ?: (now.claimedAtMillis + NO_MAJORITY_MILLIS)
+        return nowMillis >= maxOf(now.claimedAtMillis, majorityKnewAtMillis) + Standing.MAX_AGE_MILLIS + MARGIN_MILLIS
+    }
+
     private fun survey(now: Phase.Surveying, nowMillis: Long) {
         if (isBusy) return
         val customer = customerName() ?: return
@@ -361,7 +372,9 @@
 
         data object Claiming : Phase
 
-        class Draining(val record: GroupRecord, val untilMillis: Long) : Phase
+        class Draining(val record: GroupRecord, val claimedAtMillis: Long) : Phase {
+            var majorityKnewAtMillis: Long? = null
+        }
 
         class Surveying(val record: GroupRecord, val startedAtMillis: Long) : Phase
 
@@ -389,6 +402,7 @@
         const val RANK_STEP_MILLIS = 60L
         const val STALLED_MILLIS = 3_000L
         const val MARGIN_MILLIS = 50L
+        const val NO_MAJORITY_MILLIS = 12_000L
         const val SURVEY_MILLIS = 800L
         const val CATCH_UP_MILLIS = 700L
         const val ALL_REPLICAS_MILLIS = 8_000L
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -46,6 +46,23 @@
     /** True while a transaction is open. */
     public val isInTransaction: Boolean get() = transaction != null
 
+    /** Tells the caller that the session is open, or why it can't be. */
+    internal fun open() {
+        if (isClosed) return
+        val configuration = services.configuration
+        val route = configuration.routes[database]
+        val error = when {
+            configuration.version < 0 -> StatementError(ErrorCode.BUSY, "the host is starting, not run")
+            route == null -> StatementError(ErrorCode.UNKNOWN_DATABASE, "no database $database")
+            route.isOpen || key in configuration.customersByKey -> null
+            else -> StatementError(ErrorCode.UNAUTHORIZED, "the key is not valid")
+        }
+        if (error == null) return link.opened()
+        services.log.request("-", "session_refused", "database", database, "code", error.code)
+        isClosed = true
+        link.refuse(error)
+    }
+
     /** Takes one statement of the caller. */
     public fun onStatement(id: String, statement: Statement) {
         if (isClosed) return
@@ -242,7 +259,10 @@
         if (isClosed) return
         val admission = if (customer == null) Admission.Admitted else services.gate.admit(customer)
         if (admission !is Admission.Refused) return then()
-        if (admission.reason == RefusalReason.BORROWING && triesLeft > 0) {
+        val waitedMillis = services.timers.nowMillis() - incoming.arrivedAtMillis
+        val isSoon = waitedMillis + admission.retryAfterMillis <= route.goalMillis / GOAL_PART
+        val isWorthWaiting = admission.reason == RefusalReason.BORROWING || admission.reason == RefusalReason.OVER_RATE
+        if (isWorthWaiting && isSoon && triesLeft > 0) {
             services.timers.after(maxOf(1, admission.retryAfterMillis)) {
                 admit(incoming, route, customer, triesLeft - 1, then)
             }
@@ -321,23 +341,7 @@
         private const val MAX_PENDING = 32
         private const val MAX_TRIES = 15
 
-        /** Opens a session on [database], or tells the caller why not and returns null. */
-        public fun open(services: SessionServices, link: CallerLink, database: String, key: String?): CallerSession? {
-            val configuration = services.configuration
-            val route = configuration.routes[database]
-            val error = when {
-                configuration.version < 0 -> StatementError(ErrorCode.BUSY, "the host is starting")
-                route == null -> StatementError(ErrorCode.UNKNOWN_DATABASE, "no database $database")
-                route.isOpen || key in configuration.customersByKey -> null
-                else -> StatementError(ErrorCode.UNAUTHORIZED, "the key is not valid")
-            }
-            if (error != null) {
-                services.log.request("-", "session_refused", "database", database, "code", error.code)
-                link.refuse(error)
-                return null
-            }
-            link.opened()
-            return CallerSession(services, link, database, key)
-        }
+        /** The part of its goal that an operation may wait for its customer's rate, as a divisor. */
+        private const val GOAL_PART = 5
     }
 }
