Limits: shares follow the demand that hosts tell each other

Ruled out: the overload itself (refusals fell on customers within their rate, on all hosts alike). Change: DemandShares gives every host a share by told demand; no message for one request.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -2,13 +2,17 @@
 
 import dev.cardamomlane.core.CustomerId
 import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
-import dev.cardamomlane.core.limits.Allowance
-import dev.cardamomlane.core.limits.LimitBook
-import dev.cardamomlane.core.limits.ShareBasis
-import dev.cardamomlane.core.limits.ShareTable
+import dev.cardamomlane.core.limits.Admission
+import dev.cardamomlane.core.limits.DemandShares
+import dev.cardamomlane.core.limits.RefusalReason
 import dev.cardamomlane.engine.config.Configuration
+import dev.cardamomlane.engine.config.Customer
 import dev.cardamomlane.engine.fleet.ControlStore
+import dev.cardamomlane.engine.fleet.CustomerDemand
 import dev.cardamomlane.engine.fleet.Fleet
 import dev.cardamomlane.engine.fleet.GroupNote
 import dev.cardamomlane.engine.fleet.GroupNotes
@@ -28,11 +32,6 @@
 import dev.cardamomlane.engine.session.SessionServices
 import dev.cardamomlane.engine.target.TargetDialer
 import dev.cardamomlane.engine.target.TargetEntry
-import dev.cardamomlane.core.TargetId
-import dev.cardamomlane.core.LogPosition
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toImmutableList
-import kotlinx.collections.immutable.toImmutableMap
 
 /**
  * One entry host: its sessions, its groups and its place in the fleet. Everything runs on one event loop; nothing
@@ -53,12 +52,11 @@
 ) : SessionServices, GroupNotes {
     private val standing = Standing()
     private val fleet = Fleet(self, timers, store, network, standing, log, this)
-    private val limits = LimitBook(Fleet.memberId(self.name), fleet)
+    private val shares = DemandShares()
     private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
     private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
     private val sessions = LinkedHashSet<CallerSession>()
     private var entries: List<TargetEntry> = emptyList()
-    private var basis: ShareBasis? = null
     private var memberNames: Set<String> = emptySet()
     private val waitingSessions = ArrayList<CallerSession>()
     private var stoppingSinceMillis: Long? = null
@@ -67,10 +65,7 @@
     override var configuration: Configuration = Configuration.NONE
         private set
 
-    override val gate: AdmissionGate = AdmissionGate { customer ->
-        val nowMillis = timers.nowMillis()
-        limits.admit(customer.id, standing.isCurrent(nowMillis), nowMillis)
-    }
+    override val gate: AdmissionGate = AdmissionGate(::admit)
 
     /** How many sessions are open. */
     public val sessionCount: Int get() = sessions.size
@@ -83,14 +78,8 @@
             groups[record.group]?.onRecord(record)
             fleet.heartbeat()
         }
-        fleet.shareListener = { from, message ->
-            val nowMillis = timers.nowMillis()
-            limits.onMessage(from, message, standing.isCurrent(nowMillis), nowMillis)
-        }
-        fleet.onMembers { names, wasListed ->
-            if (basis == null && !wasListed) basis = shareBasis(names - self.name)
+        fleet.onMembers { names ->
             memberNames = names
-            installShares()
             updateGroups()
             admitWaiting()
         }
@@ -119,7 +108,6 @@
             "configuration", "in_force", "version", newer.version, "before", before.version,
             "routes", newer.routes.size, "customers", newer.customersByKey.values.distinct().size,
         )
-        installShares()
         updateGroups()
         admitWaiting()
     }
@@ -184,7 +172,6 @@
         val nowMillis = timers.nowMillis()
         stoppingSinceMillis = nowMillis
         log.belief("host", "stopping", "sessions", sessions.size)
-        limits.returnAll(nowMillis)
         timers.after(minOf(STILL_SERVING_MILLIS, graceMillis / 3)) { closeIdleSessions() }
         timers.after(graceMillis / 2) { sessions.toList().forEach { it.abortTransaction("the host is stopping") } }
         finishStop(nowMillis + graceMillis, done)
@@ -230,7 +217,12 @@
     }
 
     override fun onNotes(peer: Peer, notes: List<GroupNote>, nowMillis: Long) {
-        val newer = peer.last?.configurationVersion ?: -1
+        val heartbeat = peer.last ?: return
+        shares.hear(
+            HostId(peer.member.name),
+            heartbeat.demand.associate { CustomerId(it.customer) to it.perSecond.toDouble() },
+        )
+        val newer = heartbeat.configurationVersion
         if (newer > configuration.version) onNewerConfiguration(peer.member, newer)
         if (peer.spokeAtMillis <= Standing.NEVER) return
         for (note in notes) {
@@ -244,7 +236,6 @@
 
     private fun onHeartbeat() {
         fleet.tick()
-        limits.tick(timers.nowMillis())
         fleet.newestConfigurationAt()?.let { (member, version) ->
             if (version > configuration.version) onNewerConfiguration(member, version)
         }
@@ -289,29 +280,24 @@
         return group
     }
 
-    /** Puts shares in force that add up to at most the limits, also while some hosts still use the ones before. */
-    private fun installShares() {
-        if (memberNames.isEmpty()) return
-        val old = basis
-        val fresh = shareBasis(memberNames)
-        basis = fresh
+    private fun admit(customer: Customer, isRepeated: Boolean): Admission {
         val nowMillis = timers.nowMillis()
-        if (old == null || old.members.isEmpty() || old.limits.isEmpty()) {
-            return limits.install(ShareTable(persistentListOf(fresh)), nowMillis)
+        if (!standing.isCurrent(nowMillis)) {
+            return Admission.Refused(RefusalReason.NOT_IN_STANDING, STANDING_RETRY_MILLIS)
         }
-        limits.install(ShareTable(persistentListOf(old, fresh)), nowMillis)
-        timers.after(SHARE_CHANGE_MILLIS) {
-            if (basis === fresh) limits.install(ShareTable(persistentListOf(fresh)), timers.nowMillis())
+        val allowance = customer.allowance ?: return Admission.Admitted
+        val admission = if (isRepeated) {
+            shares.admitAgain(customer.id, allowance, fleet.size, nowMillis)
+        } else {
+            shares.admit(customer.id, allowance, fleet.size, nowMillis)
         }
+        if (admission is Admission.Refused && !isRepeated) fleet.heartbeatSoon()
+        return admission
     }
 
-    private fun shareBasis(names: Set<String>): ShareBasis {
-        val limited = configuration.customersByKey.values.distinct()
-            .mapNotNull { customer -> customer.allowance?.let { customer.id to it } }
-        return ShareBasis(
-            members = names.sorted().map { Fleet.memberId(it) }.toImmutableList(),
-            limits = limited.toMap<CustomerId, Allowance>().toImmutableMap(),
-        )
+    override fun demand(nowMillis: Long): List<CustomerDemand> {
+        shares.retain(fleet.heardNames(nowMillis).mapTo(HashSet()) { HostId(it) })
+        return shares.tell(nowMillis).map { (customer, perSecond) -> CustomerDemand(customer.value, perSecond.toFloat()) }
     }
 
     public companion object {
@@ -321,6 +307,6 @@
         private const val STILL_SERVING_MILLIS = 2_200L
         private const val MIN_CONNECTIONS = 2
         private const val SPARE_CONNECTIONS = 2
-        private const val SHARE_CHANGE_MILLIS = 3_000L
+        private const val STANDING_RETRY_MILLIS = 250L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -1,10 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
-import dev.cardamomlane.core.HostId
 import dev.cardamomlane.core.TimerService
-import dev.cardamomlane.core.fleet.MemberId
-import dev.cardamomlane.core.limits.ShareMessage
-import dev.cardamomlane.core.limits.ShareOutbox
 import dev.cardamomlane.engine.log.DecisionLog
 import kotlin.random.Random
 
@@ -25,18 +21,16 @@
     public val standing: Standing,
     private val log: DecisionLog,
     private val notes: GroupNotes,
-) : ShareOutbox {
+) {
     private var rows: Map<String, MemberRow> = emptyMap()
     private val peersByName = sortedMapOf<String, Peer>()
     private val readiness = StoreReading(timers, store, log, Random(self.name.hashCode() + self.incarnation), ::onRows)
-    private val membersListeners = ArrayList<(Set<String>, Boolean) -> Unit>()
+    private val membersListeners = ArrayList<(Set<String>) -> Unit>()
     private var hasRows = false
     private var isRegistering = false
     private var registeredAtMillis = Standing.NEVER
     private var membersHash = 0
-
-    /** Hears messages about shares. */
-    public var shareListener: (MemberId, ShareMessage) -> Unit = { _, _ -> }
+    private var heartbeatAtMillis = Standing.NEVER
 
     /** The other hosts. */
     public val peers: Collection<Peer> get() = peersByName.values
@@ -55,8 +49,8 @@
         peersByName.values.mapNotNull { peer -> peer.last?.let { peer.member to it.configurationVersion } }
             .maxByOrNull { it.second }
 
-    /** Calls [listener] with the names of all members after each change, and whether the store listed this host. */
-    public fun onMembers(listener: (names: Set<String>, wasListed: Boolean) -> Unit) {
+    /** Calls [listener] with the names of all members after each change. */
+    public fun onMembers(listener: (names: Set<String>) -> Unit) {
         membersListeners += listener
     }
 
@@ -79,7 +73,9 @@
     public fun heartbeat() {
         val nowMillis = timers.nowMillis()
         val groups = notes.notes(nowMillis)
+        val demand = notes.demand(nowMillis)
         val heard = heardMask(nowMillis)
+        heartbeatAtMillis = nowMillis
         for (peer in peersByName.values) {
             val answered = peer.last
             val message = Heartbeat(
@@ -92,11 +88,21 @@
                 configurationVersion = notes.configurationVersion,
                 heardMembers = heard,
                 groups = groups,
+                demand = demand,
             )
-            network.send(peer.member.address, PeerMessage(self.name, self.incarnation, heartbeat = message))
+            network.send(peer.member.address, PeerMessage(self.name, self.incarnation, message))
         }
     }
 
+    /** Sends heartbeats early, unless some were sent a moment ago. */
+    public fun heartbeatSoon() {
+        if (timers.nowMillis() - heartbeatAtMillis >= EARLY_MILLIS) heartbeat()
+    }
+
+    /** The names of the other hosts that were heard lately. */
+    public fun heardNames(nowMillis: Long): List<String> =
+        peersByName.values.filter { it.isHeard(nowMillis, HEARD_MILLIS) }.map { it.member.name }
+
     /** Takes in a datagram. */
     public fun onMessage(message: PeerMessage) {
         if (message.from == self.name) return
@@ -105,8 +111,7 @@
             readiness.read()
             return
         }
-        message.share?.message()?.let { shareListener(memberId(message.from), it) }
-        val heartbeat = message.heartbeat ?: return
+        val heartbeat = message.heartbeat
         val nowMillis = timers.nowMillis()
         if (!peer.hear(message.incarnation, heartbeat, self.incarnation, nowMillis)) return
         val records = heartbeat.groups.mapNotNull { it.record() }
@@ -116,11 +121,6 @@
         if (heartbeat.membersHash != membersHash) readiness.read()
     }
 
-    override fun send(to: MemberId, message: ShareMessage) {
-        val peer = peersByName[to.host.value] ?: return
-        network.send(peer.member.address, PeerMessage(self.name, self.incarnation, share = ShareNote.of(message)))
-    }
-
     /** The members that were heard lately, this host included. */
     public fun heardCount(nowMillis: Long): Int = 1 + peersByName.values.count { it.isHeard(nowMillis, HEARD_MILLIS) }
 
@@ -153,7 +153,6 @@
         val members = rows.members.map { it.member }.filter { it.name != self.name }
         val names = members.mapTo(HashSet()) { it.name }
         val before = if (hasRows) peersByName.keys.toSet() else null
-        val wasListed = rows.members.any { it.member.name == self.name }
         peersByName.keys.retainAll(names)
         for (member in members) {
             if (peersByName[member.name]?.member != member) peersByName[member.name] = Peer(member)
@@ -162,7 +161,7 @@
         membersHash = (names + self.name).sorted().hashCode()
         if (peersByName.keys != before) {
             log.belief("fleet", "members_changed", "count", size, "members", (names + self.name).sorted().joinToString(" "))
-            membersListeners.forEach { it(names + self.name, wasListed) }
+            membersListeners.forEach { it(names + self.name) }
             hasRows = true
             heartbeat()
         }
@@ -223,11 +222,9 @@
         public const val HEARTBEAT_MILLIS: Long = 250
 
         private const val HEARD_MILLIS = 900L
+        private const val EARLY_MILLIS = 60L
         private const val HEARD_LONG_MILLIS = 3_000L
         private const val DEAD_MILLIS = 10_000L
         private const val REGISTER_MILLIS = 1_500L
-
-        /** How shares name a host; its runs hold the same share one after the other. */
-        public fun memberId(name: String): MemberId = MemberId(HostId(name), incarnation = 0)
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupNotes.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupNotes.kt
@@ -1,6 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
-/** Where heartbeats get what they say of groups, and hand over what others say. */
+/** Where heartbeats get what they say of groups and customers, and hand over what others say. */
 public interface GroupNotes {
     /** The newest configuration known here. */
     public val configurationVersion: Long
@@ -8,6 +8,9 @@
     /** What this host says of its groups now. */
     public fun notes(nowMillis: Long): List<GroupNote>
 
+    /** What each customer asks of this host, as it is told to all hosts now. */
+    public fun demand(nowMillis: Long): List<CustomerDemand>
+
     /** Takes in what [peer] says of its groups. */
     public fun onNotes(peer: Peer, notes: List<GroupNote>, nowMillis: Long)
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Heartbeat.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Heartbeat.kt
@@ -32,4 +32,5 @@
     val configurationVersion: Long,
     val heardMembers: Long,
     val groups: List<GroupNote>,
+    val demand: List<CustomerDemand>,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -4,13 +4,12 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborArray
 
-/** A datagram between two hosts: a heartbeat or a message about a customer's share. */
+/** A datagram between two hosts. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @CborArray
 public data class PeerMessage(
     val from: String,
     val incarnation: Long,
-    val heartbeat: Heartbeat? = null,
-    val share: ShareNote? = null,
+    val heartbeat: Heartbeat,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -257,12 +257,11 @@
 
     private fun admit(incoming: Incoming, route: Route, customer: Customer?, triesLeft: Int = MAX_TRIES, then: () -> Unit) {
         if (isClosed) return
-        val admission = if (customer == null) Admission.Admitted else services.gate.admit(customer)
+        val admission = if (customer == null) Admission.Admitted else services.gate.admit(customer, triesLeft < MAX_TRIES)
         if (admission !is Admission.Refused) return then()
         val waitedMillis = services.timers.nowMillis() - incoming.arrivedAtMillis
         val isSoon = waitedMillis + admission.retryAfterMillis <= route.goalMillis / GOAL_PART
-        val isWorthWaiting = admission.reason == RefusalReason.BORROWING || admission.reason == RefusalReason.OVER_RATE
-        if (isWorthWaiting && isSoon && triesLeft > 0) {
+        if (admission.reason == RefusalReason.OVER_RATE && isSoon && triesLeft > 0) {
             services.timers.after(maxOf(1, admission.retryAfterMillis)) {
                 admit(incoming, route, customer, triesLeft - 1, then)
             }
