--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShares.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShares.kt
@@ -11,12 +11,14 @@
  * it last told it, so that all hosts compute with the same numbers and the shares add up to one, but for the
  * moment that a message takes. A host that is not heard has no part of the rest; it must have stopped by then.
  *
- * A bucket starts empty, and one that was not looked at for long fills for [MAX_FILL_MILLIS] only, so that a host that
- * was restarted or stood still brings no burst of its own.
+ * A bucket is empty when the host starts, and one that was not looked at for long fills for [MAX_FILL_MILLIS] only, so
+ * that a host that was restarted or stood still brings no burst of its own.
  *
  * Not safe for use by several threads.
+ *
+ * @param startedAtMillis when the host started, from which on buckets fill
  */
-public class DemandShares {
+public class DemandShares(private val startedAtMillis: Long) {
     private val buckets = HashMap<CustomerId, Bucket>()
     private val demandByHost = HashMap<HostId, Map<CustomerId, Double>>()
     private var toldAtMillis: Long? = null
@@ -24,7 +26,7 @@
     /** Takes one token of [customer], whose allowance all [hostCount] hosts share, or says when to come back. */
     public fun admit(customer: CustomerId, allowance: Allowance, hostCount: Int, nowMillis: Long): Admission {
         require(hostCount >= 1) { "hostCount must be at least 1 but was $hostCount" }
-        val bucket = buckets.getOrPut(customer) { Bucket(nowMillis) }
+        val bucket = buckets.getOrPut(customer) { Bucket(startedAtMillis) }
         bucket.arrivals++
         val share = share(customer, bucket, hostCount)
         bucket.fill(allowance, share, nowMillis)
--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/DemandSharesTest.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/DemandSharesTest.kt
@@ -16,7 +16,7 @@
 
     private inner class Fleet(private val hostCount: Int, seed: Int = 1) {
         private val random = Random(seed)
-        private val shares = Array(hostCount) { DemandShares() }
+        private val shares = Array(hostCount) { DemandShares(startedAtMillis = 0) }
         private val downHosts = HashSet<Int>()
         private val pending = ArrayList<Triple<Long, Int, Pair<Int, Map<CustomerId, Double>>>>()
         private val heardAtMillis = HashMap<Pair<Int, Int>, Long>()
@@ -31,7 +31,7 @@
         }
 
         fun restart(host: Int) {
-            shares[host] = DemandShares()
+            shares[host] = DemandShares(startedAtMillis = nowMillis)
             downHosts -= host
         }
 
@@ -105,6 +105,16 @@
         assertTrue(fleet.refusedCount - before <= fleet.askedCount / 1_000, "${fleet.refusedCount - before} refused")
     }
 
+    @Test
+    fun `hosts that have waited for their first callers refuse nothing within the rate`() {
+        val fleet = Fleet(hostCount = 8)
+        fleet.run(3_000) { 0.0 }
+
+        fleet.run(1_000, ::uneven)
+
+        assertTrue(fleet.refusedCount <= 10, "${fleet.refusedCount} of ${fleet.askedCount} refused")
+    }
+
     @Test
     fun `a customer that asks many times its rate gets no more than its rate over all hosts`() {
         for (seed in 1..5) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -52,7 +52,7 @@
 ) : SessionServices, GroupNotes {
     private val standing = Standing()
     private val fleet = Fleet(self, timers, store, network, standing, log, this)
-    private val shares = DemandShares()
+    private val shares = DemandShares(startedAtMillis = timers.nowMillis())
     private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
     private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
     private val sessions = LinkedHashSet<CallerSession>()
@@ -60,6 +60,7 @@
     private var memberNames: Set<String> = emptySet()
     private val waitingSessions = ArrayList<CallerSession>()
     private var stoppingSinceMillis: Long? = null
+    private var cutOffSinceMillis: Long? = null
     private var configuredAtMillis = Standing.NEVER
 
     override var configuration: Configuration = Configuration.NONE
@@ -241,7 +242,28 @@
         }
     }
 
+    /**
+     * Sends callers elsewhere while this host is cut off: without proof, and without most of the other hosts, it can
+     * serve hardly anything, and others probably can.
+     */
+    private fun sendAwayWhenCutOff() {
+        val nowMillis = timers.nowMillis()
+        val isCutOff = memberNames.isNotEmpty() && !standing.isCurrent(nowMillis) &&
+            fleet.heardCount(nowMillis) < fleet.majority
+        if (!isCutOff) {
+            cutOffSinceMillis = null
+            return
+        }
+        val since = cutOffSinceMillis ?: nowMillis.also {
+            cutOffSinceMillis = it
+            log.belief("host", "cut_off", "heard", fleet.heardCount(nowMillis), "members", fleet.size)
+        }
+        if (nowMillis - since < CUT_OFF_MILLIS) return
+        for (session in sessions.filter { it.isIdle }.take(SEND_AWAY_COUNT)) session.closeWhenIdle()
+    }
+
     private fun onTick() {
+        sendAwayWhenCutOff()
         for (group in groups.values) group.tick()
         for (takeover in takeovers.values) takeover.tick()
     }
@@ -302,6 +324,8 @@
 
     public companion object {
         private const val OPEN_WAIT_MILLIS = 1_200L
+        private const val CUT_OFF_MILLIS = 400L
+        private const val SEND_AWAY_COUNT = 8
         private const val TICK_MILLIS = 40L
         private const val STOP_POLL_MILLIS = 50L
         private const val STILL_SERVING_MILLIS = 2_200L
