Takeover: only with hosts enough to block a majority; a lost leader is replaced sooner; slow replicas asked less

Change: a claim needs as many hosts as every majority has one of; a gone leader's claim is taken over after 1 s; a replica is asked again after a sixth of its lag; writes are refused at once when no takeover is in sight. Tests: TakeoverTest (the first fails without the change, the second with the old patience).

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -49,7 +49,8 @@
     private val promotion: PromotionCall,
     override val log: DecisionLog,
     private val meter: RequestMeter,
-) : SessionServices, GroupNotes {
+) : SessionServices,
+    GroupNotes {
     private val standing = Standing()
     private val fleet = Fleet(self, timers, store, network, standing, log, this)
     private val shares = DemandShares(startedAtMillis = timers.nowMillis())
@@ -319,7 +320,9 @@
 
     override fun demand(nowMillis: Long): List<CustomerDemand> {
         shares.retain(fleet.heardNames(nowMillis).mapTo(HashSet()) { HostId(it) })
-        return shares.tell(nowMillis).map { (customer, perSecond) -> CustomerDemand(customer.value, perSecond.toFloat()) }
+        return shares.tell(nowMillis).map { (customer, perSecond) ->
+            CustomerDemand(customer.value, perSecond.toFloat())
+        }
     }
 
     public companion object {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -44,6 +44,9 @@
     /** How many members are more than half. */
     public val majority: Int get() = size / 2 + 1
 
+    /** How many members are enough to have one in common with every majority. */
+    public val blockingCount: Int get() = size - majority + 1
+
     /** The newest configuration that a peer knows, and the peer. */
     public fun newestConfigurationAt(): Pair<Member, Long>? =
         peersByName.values.mapNotNull { peer -> peer.last?.let { peer.member to it.configurationVersion } }
@@ -124,15 +127,20 @@
     /** The members that were heard lately, this host included. */
     public fun heardCount(nowMillis: Long): Int = 1 + peersByName.values.count { it.isHeard(nowMillis, HEARD_MILLIS) }
 
+    /** True when the run of a host that [holder] names, as `host#incarnation`, is heard no more. */
+    public fun isGone(holder: String, nowMillis: Long): Boolean {
+        val peer = peersByName[holder.substringBeforeLast('#')] ?: return true
+        return !peer.isHeard(nowMillis, HEARD_MILLIS) || "${peer.member.name}#${peer.incarnation}" != holder
+    }
+
     /** This host's place among the hosts heard lately, by name; the first one leads. */
     public fun rank(nowMillis: Long): Int =
         peersByName.values.count { it.isHeard(nowMillis, HEARD_MILLIS) && it.member.name < self.name }
 
     /** True when every host heard lately knows the same members. */
-    public fun agreesOnMembers(nowMillis: Long): Boolean =
-        isRegistered && peersByName.values.none {
-            it.isHeard(nowMillis, HEARD_MILLIS) && it.last?.membersHash != membersHash
-        }
+    public fun agreesOnMembers(nowMillis: Long): Boolean = isRegistered && peersByName.values.none {
+        it.isHeard(nowMillis, HEARD_MILLIS) && it.last?.membersHash != membersHash
+    }
 
     /**
      * A takeover promotes only a while after a majority knew of it. So the word of a majority, this host included, is
@@ -160,7 +168,14 @@
         if (!isRegistered) register(timers.nowMillis())
         membersHash = (names + self.name).sorted().hashCode()
         if (peersByName.keys != before) {
-            log.belief("fleet", "members_changed", "count", size, "members", (names + self.name).sorted().joinToString(" "))
+            log.belief(
+                "fleet",
+                "members_changed",
+                "count",
+                size,
+                "members",
+                (names + self.name).sorted().joinToString(" "),
+            )
             membersListeners.forEach { it(names + self.name) }
             hasRows = true
             heartbeat()
@@ -190,7 +205,11 @@
                 it.isHeard(nowMillis, HEARD_MILLIS) && hasBit(it.last?.heardMembers ?: 0, bit)
             }
             val row = rows[peer.member.name]
-            if (isHeardElsewhere || row == null || nowMillis - (droppedAtMillis[row.member.name] ?: Standing.NEVER) < DEAD_MILLIS) continue
+            if (isHeardElsewhere || row == null ||
+                nowMillis - (droppedAtMillis[row.member.name] ?: Standing.NEVER) < DEAD_MILLIS
+            ) {
+                continue
+            }
             droppedAtMillis[row.member.name] = nowMillis
             log.belief("fleet", "member_dropped", "member", row.member.name)
             store.removeMember(row.member.name, row.version).subscribe({ readiness.read() }, {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Member.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Member.kt
@@ -10,9 +10,4 @@
  * @property snapshotAddress where the host hands out what it knows of configuration and targets, as `ip:port`
  */
 @Serializable
-public data class Member(
-    val name: String,
-    val incarnation: Long,
-    val address: String,
-    val snapshotAddress: String,
-)
+public data class Member(val name: String, val incarnation: Long, val address: String, val snapshotAddress: String)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -8,8 +8,4 @@
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @CborArray
-public data class PeerMessage(
-    val from: String,
-    val incarnation: Long,
-    val heartbeat: Heartbeat,
-)
+public data class PeerMessage(val from: String, val incarnation: Long, val heartbeat: Heartbeat)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -39,6 +39,7 @@
     private var partSinceMillis: Long? = null
     private var primaryMissingSinceMillis: Long? = null
     private var plannedPauseUntilMillis = Standing.NEVER
+    private var fewSinceMillis: Long? = null
     private var isBusy = false
     private var probedAtMillis = Standing.NEVER
     private val rejected = HashSet<TargetId>()
@@ -78,7 +79,12 @@
         val record = standing.record(group.id)
         if (record != null && record.isChanging) {
             val stalledMillis = nowMillis - changingSinceMillis - fleet.rank(nowMillis) * RANK_STEP_MILLIS
-            if (record.holder == self || stalledMillis > STALLED_MILLIS) claim("stalled takeover", record.isPlanned, nowMillis)
+            val patienceMillis = when {
+                record.holder == self -> 0
+                fleet.isGone(record.holder, nowMillis) -> GONE_HOLDER_MILLIS
+                else -> STALLED_MILLIS
+            }
+            if (stalledMillis >= patienceMillis) claim("stalled takeover", record.isPlanned, nowMillis)
             return
         }
         val reason = reasonToReplace(nowMillis) ?: return
@@ -150,6 +156,7 @@
 
     private fun claim(reason: String, isPlanned: Boolean, nowMillis: Long) {
         if (!standing.isCurrent(nowMillis) || !fleet.agreesOnMembers(nowMillis)) return
+        if (!canBlock(nowMillis)) return
         val old = standing.record(group.id)
         val primaryId = old?.primary ?: group.primary?.entry?.id ?: UNKNOWN_TARGET
         val record = GroupRecord(
@@ -199,15 +206,28 @@
         phase = Phase.Surveying(now.record, startedAtMillis = nowMillis)
     }
 
+    /**
+     * True when the hosts that are heard, this one included, can keep the others from proof by a majority. Without
+     * them a claim would only stop the hosts that still reach the primary.
+     */
+    private fun canBlock(nowMillis: Long): Boolean {
+        if (fleet.heardCount(nowMillis) >= fleet.blockingCount) {
+            fewSinceMillis = null
+            return true
+        }
+        val since = fewSinceMillis ?: nowMillis.also { fewSinceMillis = it }
+        return nowMillis - since > NO_MAJORITY_MILLIS
+    }
+
     /**
      * True when proof that hosts got before they knew of the claim counts no more: proof of the store since the claim,
      * proof by the word of others since a majority knew.
      */
     private fun isWaitOver(now: Phase.Draining, nowMillis: Long): Boolean {
         val knowing = 1 + fleet.peers.count { (it.note(group.id.value)?.version ?: 0) >= now.record.version }
-        if (now.majorityKnewAtMillis == null && knowing >= fleet.majority) now.majorityKnewAtMillis = nowMillis
-        val majorityKnewAtMillis = now.majorityKnewAtMillis ?: (now.claimedAtMillis + NO_MAJORITY_MILLIS)
-        return nowMillis >= maxOf(now.claimedAtMillis, majorityKnewAtMillis) + Standing.MAX_AGE_MILLIS + MARGIN_MILLIS
+        if (now.enoughKnewAtMillis == null && knowing >= fleet.blockingCount) now.enoughKnewAtMillis = nowMillis
+        val enoughKnewAtMillis = now.enoughKnewAtMillis ?: (now.claimedAtMillis + NO_MAJORITY_MILLIS)
+        return nowMillis >= maxOf(now.claimedAtMillis, enoughKnewAtMillis) + Standing.MAX_AGE_MILLIS + MARGIN_MILLIS
     }
 
     private fun survey(now: Phase.Surveying, nowMillis: Long) {
@@ -247,7 +267,11 @@
         )
         val waitedMillis = nowMillis - now.startedAtMillis
         when {
-            best == null -> if (old != null && waitedMillis > CATCH_UP_MILLIS) giveUp(record, old.key, "no replica can lead")
+            best == null -> if (old != null &&
+                waitedMillis > CATCH_UP_MILLIS
+            ) {
+                giveUp(record, old.key, "no replica can lead")
+            }
             record.isPlanned && old != null && best.value.received < old.value.received ->
                 if (waitedMillis > CATCH_UP_MILLIS) giveUp(record, old.key, "no replica caught up")
             mustHearAllReplicas() && !hasHeardAll(record, answers) && waitedMillis < ALL_REPLICAS_MILLIS -> Unit
@@ -348,7 +372,9 @@
             val target = group.targets.firstOrNull { it.entry.id == id }
             if (target == null || nowMillis - demotion.sinceMillis > DEMOTE_MILLIS) {
                 entries.remove()
-            } else if (target.unreachableSinceMillis == null && nowMillis - demotion.triedAtMillis > DEMOTE_RETRY_MILLIS) {
+            } else if (target.unreachableSinceMillis == null &&
+                nowMillis - demotion.triedAtMillis > DEMOTE_RETRY_MILLIS
+            ) {
                 demotion.triedAtMillis = nowMillis
                 target.demote(customer, demotion.term) { isDone -> if (isDone) toDemote.remove(id) }
                 return
@@ -360,12 +386,7 @@
         var triedAtMillis = Standing.NEVER
     }
 
-    private class Reason(
-        val text: String,
-        val isPlanned: Boolean,
-        val sinceMillis: Long,
-        val patienceMillis: Long,
-    )
+    private class Reason(val text: String, val isPlanned: Boolean, val sinceMillis: Long, val patienceMillis: Long)
 
     private sealed interface Phase {
         data object Watching : Phase
@@ -373,17 +394,12 @@
         data object Claiming : Phase
 
         class Draining(val record: GroupRecord, val claimedAtMillis: Long) : Phase {
-            var majorityKnewAtMillis: Long? = null
+            var enoughKnewAtMillis: Long? = null
         }
 
         class Surveying(val record: GroupRecord, val startedAtMillis: Long) : Phase
 
-        class Promoting(
-            val record: GroupRecord,
-            val target: Target,
-            val oldTerm: Long,
-            val sentAtMillis: Long,
-        ) : Phase
+        class Promoting(val record: GroupRecord, val target: Target, val oldTerm: Long, val sentAtMillis: Long) : Phase
 
         class Publishing(val record: GroupRecord, val primary: TargetId, val term: Long) : Phase {
             var notBeforeMillis = Standing.NEVER
@@ -401,6 +417,7 @@
         const val PROBE_MILLIS = 150L
         const val RANK_STEP_MILLIS = 60L
         const val STALLED_MILLIS = 3_000L
+        const val GONE_HOLDER_MILLIS = 1_000L
         const val MARGIN_MILLIS = 50L
         const val NO_MAJORITY_MILLIS = 12_000L
         const val SURVEY_MILLIS = 800L
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -174,7 +174,7 @@
     private fun isPrimaryExpected(): Boolean {
         val nowMillis = timers.nowMillis()
         val record = standing.record(id)
-        if (record != null && record.isChanging) return true
+        if (record != null && record.isChanging) return nowMillis - changedAtMillis < CHANGE_HOPE_MILLIS
         val target = primary ?: return false
         val since = target.unreachableSinceMillis ?: target.goneAtMillis ?: return true
         return nowMillis - since < TAKEOVER_HOPE_MILLIS
@@ -199,7 +199,7 @@
     }
 
     private fun tryStart(work: Work, nowMillis: Long) {
-        val need = need(work, nowMillis)
+        val need = need(work)
         val usable = candidates(work, need, nowMillis)
         if (usable.isEmpty()) return
         val ready = usable.mapNotNull { target -> target.idle(work.customerName, work.state)?.let { target to it } }
@@ -235,7 +235,14 @@
 
     private fun isBehind(target: Target, position: LogPosition, nowMillis: Long): Boolean {
         val applied = target.appliedPosition ?: return false
-        return applied < position && nowMillis - target.appliedAtMillis < BEHIND_MILLIS
+        if (applied >= position) return false
+        val lookAgainMillis = (
+            trail.lagMillis(
+                applied,
+                nowMillis,
+            ) / LAG_PART
+            ).coerceIn(BEHIND_MILLIS, BEHIND_LONG_MILLIS)
+        return nowMillis - target.appliedAtMillis < lookAgainMillis
     }
 
     private fun cost(target: Target): Double {
@@ -245,7 +252,7 @@
         return load + target.serviceMillis + zoneMillis + primaryMillis
     }
 
-    private fun need(work: Work, nowMillis: Long): ReadNeed {
+    private fun need(work: Work): ReadNeed {
         if (work.needsPrimary || work.route.consistency == Consistency.LATEST) return ReadNeed.Primary
         val sinceMillis = work.arrivedAtMillis - work.route.maxStaleMillis + STALE_MARGIN_MILLIS
         val covering = trail.covering(sinceMillis) ?: return ReadNeed.Primary
@@ -400,9 +407,14 @@
         const val GONE_KEEP_MILLIS = 10_000L
         const val HOPELESS_PART = 0.5
         const val MAX_WAIT_PART = 0.8
-        const val TAKEOVER_HOPE_MILLIS = 3_000L
+        const val TAKEOVER_HOPE_MILLIS = 900L
+        const val CHANGE_HOPE_MILLIS = 1_800L
         const val DIAL_PATIENCE_MILLIS = 60L
         const val BEHIND_MILLIS = 40L
+        const val BEHIND_LONG_MILLIS = 250L
+
+        /** A replica that is far behind is asked again after this part of its lag, as a divisor. */
+        const val LAG_PART = 6
         const val OTHER_ZONE_MILLIS = 2.0
         const val PRIMARY_SPARE_MILLIS = 12.0
         const val STALE_MARGIN_MILLIS = 60L
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/PositionTrail.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/PositionTrail.kt
@@ -27,6 +27,12 @@
     /** The lowest known position that covers every write acknowledged before [millis], or null when none is known. */
     public fun covering(millis: Long): LogPosition? = samples.firstOrNull { it.askedAtMillis >= millis }?.position
 
+    /** For how long the primary has been known to be past [position], or 0 when it is not. */
+    public fun lagMillis(position: LogPosition, nowMillis: Long): Long {
+        val past = samples.firstOrNull { it.position > position } ?: return 0
+        return maxOf(0, nowMillis - past.askedAtMillis)
+    }
+
     /** Forgets every sample, as after a change of the primary. */
     public fun clear() {
         samples.clear()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -119,8 +119,20 @@
         val open = transaction
         when (val statement = incoming.statement) {
             is Statement.Unreadable -> malformed(incoming, statement.reason)
-            is Statement.Commit -> if (open == null) malformed(incoming, "no transaction is open") else commit(incoming, open)
-            is Statement.Rollback -> if (open == null) malformed(incoming, "no transaction is open") else rollback(incoming, open)
+            is Statement.Commit -> if (open ==
+                null
+            ) {
+                malformed(incoming, "no transaction is open")
+            } else {
+                commit(incoming, open)
+            }
+            is Statement.Rollback -> if (open ==
+                null
+            ) {
+                malformed(incoming, "no transaction is open")
+            } else {
+                rollback(incoming, open)
+            }
             else -> when {
                 open?.failure != null -> malformed(incoming, "the transaction failed: ${open.failure}")
                 else -> handleUsual(incoming, statement, open)
@@ -142,8 +154,18 @@
                 prepared.remove(statement.name)
                 done(incoming)
             }
-            is Statement.Begin -> if (open != null) malformed(incoming, "a transaction is open") else begin(incoming, statement)
-            is Statement.Run -> run(incoming, StatementRun(incoming.id, statement.access, statement.text, plan = null), open)
+            is Statement.Begin -> if (open !=
+                null
+            ) {
+                malformed(incoming, "a transaction is open")
+            } else {
+                begin(incoming, statement)
+            }
+            is Statement.Run -> run(
+                incoming,
+                StatementRun(incoming.id, statement.access, statement.text, plan = null),
+                open,
+            )
             is Statement.Execute -> {
                 val plan = prepared[statement.name]
                 if (plan == null) {
@@ -236,8 +258,7 @@
         if (position != null) lastCommit = position
     }
 
-    private fun stateFor(statement: StatementRun) =
-        SessionState(LinkedHashMap(values), listOfNotNull(statement.plan))
+    private fun stateFor(statement: StatementRun) = SessionState(LinkedHashMap(values), listOfNotNull(statement.plan))
 
     private fun withRoute(incoming: Incoming, then: (Route, DatabaseGroup, Customer?) -> Unit) {
         val configuration = services.configuration
@@ -255,9 +276,21 @@
         fail(incoming, code, text)
     }
 
-    private fun admit(incoming: Incoming, route: Route, customer: Customer?, triesLeft: Int = MAX_TRIES, then: () -> Unit) {
+    private fun admit(
+        incoming: Incoming,
+        route: Route,
+        customer: Customer?,
+        triesLeft: Int = MAX_TRIES,
+        then: () -> Unit,
+    ) {
         if (isClosed) return
-        val admission = if (customer == null) Admission.Admitted else services.gate.admit(customer, triesLeft < MAX_TRIES)
+        val admission = if (customer ==
+            null
+        ) {
+            Admission.Admitted
+        } else {
+            services.gate.admit(customer, triesLeft < MAX_TRIES)
+        }
         if (admission !is Admission.Refused) return then()
         val waitedMillis = services.timers.nowMillis() - incoming.arrivedAtMillis
         val isSoon = waitedMillis + admission.retryAfterMillis <= route.goalMillis / GOAL_PART
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SingleRun.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SingleRun.kt
@@ -112,7 +112,14 @@
                 if (!isSettled && !isOver && !isHedged) {
                     isHedged = true
                     work!!.avoid(target, services.timers.nowMillis() + route.timeoutMillis)
-                    services.log.request(statement.id, "hedged", "target", target.entry.id.value, "after_ms", delayMillis)
+                    services.log.request(
+                        statement.id,
+                        "hedged",
+                        "target",
+                        target.entry.id.value,
+                        "after_ms",
+                        delayMillis,
+                    )
                     group.resubmit(work!!)
                 }
             }
@@ -125,7 +132,13 @@
             if (code != null && code.isNotRun && code != ErrorCode.MALFORMED) return onNotRun(code, answer)
             settle(services.timers.nowMillis() - startedAtMillis)
             giveBack(answer)
-            if (statement.access == Access.WRITE && answer.isSuccess) acknowledge(answer) else finish(Outcome.of(answer))
+            if (statement.access == Access.WRITE &&
+                answer.isSuccess
+            ) {
+                acknowledge(answer)
+            } else {
+                finish(Outcome.of(answer))
+            }
         }
 
         private fun giveBack(answer: TargetAnswer) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementRun.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementRun.kt
@@ -10,16 +10,10 @@
  *
  * @property plan the plan that must be prepared on the connection, or null for plain text
  */
-internal class StatementRun(
-    val id: String,
-    val access: Access,
-    private val text: String,
-    val plan: PreparedPlan?,
-) {
-    fun toTarget(after: LogPosition?): TargetStatement =
-        if (plan == null) {
-            TargetStatement.Run(id, text, after)
-        } else {
-            TargetStatement.Execute(id, plan.targetName, text, after)
-        }
+internal class StatementRun(val id: String, val access: Access, private val text: String, val plan: PreparedPlan?) {
+    fun toTarget(after: LogPosition?): TargetStatement = if (plan == null) {
+        TargetStatement.Run(id, text, after)
+    } else {
+        TargetStatement.Execute(id, plan.targetName, text, after)
+    }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionRun.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionRun.kt
@@ -28,7 +28,8 @@
     private val customerName: String,
     private val ownPosition: LogPosition?,
     private val startedAtMillis: Long,
-) : WorkRunner, OpenWrite {
+) : WorkRunner,
+    OpenWrite {
     private var pinned: PooledConnection? = null
     private var pinnedTarget: Target? = null
     private var queued: Work? = null
@@ -102,13 +103,7 @@
         }
     }
 
-    private fun sendBegin(
-        work: Work,
-        target: Target,
-        connection: PooledConnection,
-        after: LogPosition?,
-        step: Step,
-    ) {
+    private fun sendBegin(work: Work, target: Target, connection: PooledConnection, after: LogPosition?, step: Step) {
         if (after == null && !group.isPrimaryUsable()) {
             target.finished(null)
             connection.release()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/TargetStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/TargetStatement.kt
@@ -12,12 +12,8 @@
     public data class Run(val id: String, val text: String, val after: LogPosition?) : TargetStatement
 
     /** Runs the plan prepared as [name]. */
-    public data class Execute(
-        val id: String,
-        val name: String,
-        val arguments: String,
-        val after: LogPosition?,
-    ) : TargetStatement
+    public data class Execute(val id: String, val name: String, val arguments: String, val after: LogPosition?) :
+        TargetStatement
 
     /** Starts a transaction. */
     public data class Begin(val isReadOnly: Boolean, val after: LogPosition?) : TargetStatement
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -76,10 +76,9 @@
     internal fun hasSlot(): Boolean = runningCount < slotLimit.limit
 
     /** The best idle connection for [customerName] with [state], or null. */
-    internal fun idle(customerName: String, state: SessionState): PooledConnection? =
-        connections
-            .filter { it.isOpen && !it.isTaken && it.customerName == customerName }
-            .minByOrNull { it.distanceTo(state) }
+    internal fun idle(customerName: String, state: SessionState): PooledConnection? = connections
+        .filter { it.isOpen && !it.isTaken && it.customerName == customerName }
+        .minByOrNull { it.distanceTo(state) }
 
     /** True when a dial for [customerName] is under way that nobody else waits for. */
     internal fun dialingCount(customerName: String): Int =
@@ -163,11 +162,7 @@
         }
     }
 
-    private class WaitingAsk(
-        val statement: TargetStatement,
-        val sinceMillis: Long,
-        val done: (TargetAnswer?) -> Unit,
-    )
+    private class WaitingAsk(val statement: TargetStatement, val sinceMillis: Long, val done: (TargetAnswer?) -> Unit)
 
     private val waitingAsks = ArrayDeque<WaitingAsk>()
 
@@ -243,9 +238,11 @@
             if (!connection.isOpen && nowMillis - connection.dialedAtMillis > DIAL_TIMEOUT_MILLIS) connection.close()
         }
         closeIdle(nowMillis)
-        if (unreachableSinceMillis != null && goneAtMillis == null && probe == null && probeCustomer != null) {
-            if (nowMillis >= noDialUntilMillis) probe = add(probeCustomer)
-        }
+        if (unreachableSinceMillis != null && goneAtMillis == null) startProbe(probeCustomer, nowMillis)
+    }
+
+    private fun startProbe(customerName: String?, nowMillis: Long) {
+        if (probe == null && customerName != null && nowMillis >= noDialUntilMillis) probe = add(customerName)
     }
 
     private fun dialStart(connection: PooledConnection): Long? =
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -28,6 +28,9 @@
     val store = FakeStore()
     val promotions = ArrayList<Pair<String, Long>>()
     val cutHosts = HashSet<String>()
+
+    /** Hosts whose promotions never arrive. */
+    val lostLeaders = HashSet<String>()
     val hosts: List<ProxyHost>
     private val hostsByAddress = HashMap<String, ProxyHost>()
 
@@ -48,9 +51,17 @@
             zone = "a",
             timers = timers,
             dialer = targets,
-            store = store,
+            store = HostStore(store) { name in lostLeaders },
             network = { address, message -> deliver(name, address, message) },
-            promotion = { _, target, _, fence -> Mono.fromSupplier { promote(target.value, fence) } },
+            promotion = { _, target, holder, fence ->
+                if (holder.substringBefore('#') in
+                    lostLeaders
+                ) {
+                    Mono.never()
+                } else {
+                    Mono.fromSupplier { promote(target.value, fence) }
+                }
+            },
             log = DecisionLog.None,
             meter = { _, _, _ -> },
         )
@@ -84,14 +95,17 @@
         bornAtMillis = 1,
     )
 
-    fun configuration(version: Long, key: String = "key", databases: Set<String> = setOf("latest", "bounded", "session")) =
-        Configuration(
-            version = version,
-            routes = databases.associateWith(::route).toImmutableMap(),
-            customersByKey = mapOf(key to Customer(CustomerId("press"), Allowance(1_000.0, 1_000.0))).toImmutableMap(),
-            groups = mapOf(DatabaseId("g") to GroupPolicy(DatabaseId("g"), 40, false)).toImmutableMap(),
-            transactionIdleMillis = 3_000,
-        )
+    fun configuration(
+        version: Long,
+        key: String = "key",
+        databases: Set<String> = setOf("latest", "bounded", "session"),
+    ) = Configuration(
+        version = version,
+        routes = databases.associateWith(::route).toImmutableMap(),
+        customersByKey = mapOf(key to Customer(CustomerId("press"), Allowance(1_000.0, 1_000.0))).toImmutableMap(),
+        groups = mapOf(DatabaseId("g") to GroupPolicy(DatabaseId("g"), 40, false)).toImmutableMap(),
+        transactionIdleMillis = 3_000,
+    )
 
     private fun route(name: String) = Route(
         name = name,
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -62,7 +62,8 @@
     fun `a primary that leaves is replaced once a replica has caught up, and no write is lost`() {
         useEverywhere()
         fixture.timers.advance(200)
-        val entries = listOf(fixture.entry("p", isPrimary = true, isDraining = true), fixture.entry("r1"), fixture.entry("r2"))
+        val entries =
+            listOf(fixture.entry("p", isPrimary = true, isDraining = true), fixture.entry("r1"), fixture.entry("r2"))
         fixture.hosts.forEach { it.listTargets(entries) }
         fixture.timers.advance(300)
         assertTrue(fixture.promotions.isEmpty(), "no replica has caught up yet")
@@ -74,6 +75,37 @@
         assertTrue(primaryIds().all { it == fixture.promotions.single().first })
     }
 
+    @Test
+    fun `a host that hears too few others claims nothing while they may still serve`() {
+        useEverywhere()
+        fixture.timers.advance(200)
+        fixture.cutHosts += "host-0"
+        fixture.timers.advance(1_000)
+        lose("p")
+        fixture.open(FakeCaller(), host = 0).onStatement("w", write)
+        fixture.hosts.drop(1).forEach { it.listTargets(emptyList()) }
+
+        fixture.timers.advance(4_000)
+
+        assertTrue(fixture.store.written.isEmpty())
+    }
+
+    @Test
+    fun `a takeover whose leader is gone is finished by another host`() {
+        useEverywhere()
+        fixture.timers.advance(200)
+        lose("p")
+        useEverywhere()
+        while (fixture.store.written.isEmpty()) fixture.timers.advance(10)
+        val leader = fixture.store.written.single().holder.substringBefore('#')
+        fixture.cutHosts += leader
+        fixture.lostLeaders += leader
+
+        fixture.timers.advance(4_500)
+
+        assertTrue(fixture.store.written.last().let { !it.isChanging && it.fence == 2L }, "${fixture.store.written}")
+    }
+
     @Test
     fun `a host that is cut off stops writing before another primary is in place`() {
         useEverywhere()
