--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -69,6 +69,9 @@
 
     override val gate: AdmissionGate = AdmissionGate(::admit)
 
+    /** The age of the proof that this host knows who leads each group. */
+    public fun proofAgeMillis(): Long = timers.nowMillis() - standing.provedAtMillis
+
     /** How many sessions are open. */
     public val sessionCount: Int get() = sessions.size
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -100,7 +100,13 @@
     }
 
     private fun missingPrimary(nowMillis: Long): Reason? {
-        if (group.targets.none(::isCandidate)) return null
+        val isKnownElsewhere = heardPeers(nowMillis).any { peer ->
+            (peer.note(group.id.value)?.primaryHeardMillis ?: -1) in 0 until MISSING_MILLIS
+        }
+        if (group.targets.none(::isCandidate) || isKnownElsewhere) {
+            primaryMissingSinceMillis = null
+            return null
+        }
         val since = primaryMissingSinceMillis ?: nowMillis.also { primaryMissingSinceMillis = it }
         return Reason("no primary is listed", isPlanned = false, since, MISSING_MILLIS)
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -384,13 +384,16 @@
             val isHopeless = work.needsPrimary && !isPrimaryUsable() && !isPrimaryExpected()
             when {
                 work.isOver -> waiting.remove(work)
-                waitedMillis > work.route.timeoutMillis * MAX_WAIT_PART -> drop(work, "waited too long")
+                waitedMillis > longestWaitMillis(work) -> drop(work, "waited too long")
                 isHopeless -> drop(work, "no primary is in reach")
             }
         }
         pump()
     }
 
+    private fun longestWaitMillis(work: Work): Long =
+        maxOf(work.route.goalMillis, (work.route.timeoutMillis * MAX_WAIT_PART).toLong())
+
     private fun probePosition(nowMillis: Long) {
         if (nowMillis - usedAtMillis > IN_USE_MILLIS || nowMillis - probedAtMillis < PROBE_SPACING_MILLIS) return
         val newestMillis = trail.newest?.askedAtMillis ?: Standing.NEVER
@@ -406,7 +409,7 @@
         const val MAX_ATTEMPTS = 8
         const val GONE_KEEP_MILLIS = 10_000L
         const val HOPELESS_PART = 0.5
-        const val MAX_WAIT_PART = 0.8
+        const val MAX_WAIT_PART = 0.4
         const val TAKEOVER_HOPE_MILLIS = 900L
         const val CHANGE_HOPE_MILLIS = 1_800L
         const val DIAL_PATIENCE_MILLIS = 60L
