--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -49,7 +49,8 @@
     private val promotion: PromotionCall,
     override val log: DecisionLog,
     private val meter: RequestMeter,
-) : SessionServices, GroupNotes {
+) : SessionServices,
+    GroupNotes {
     private val standing = Standing()
     private val fleet = Fleet(self, timers, store, network, standing, log, this)
     private val shares = DemandShares(startedAtMillis = timers.nowMillis())
@@ -68,6 +69,9 @@
 
     override val gate: AdmissionGate = AdmissionGate(::admit)
 
+    /** The age of the proof that this host knows who leads each group. */
+    public fun proofAgeMillis(): Long = timers.nowMillis() - standing.provedAtMillis
+
     /** How many sessions are open. */
     public val sessionCount: Int get() = sessions.size
 
@@ -319,7 +323,9 @@
 
     override fun demand(nowMillis: Long): List<CustomerDemand> {
         shares.retain(fleet.heardNames(nowMillis).mapTo(HashSet()) { HostId(it) })
-        return shares.tell(nowMillis).map { (customer, perSecond) -> CustomerDemand(customer.value, perSecond.toFloat()) }
+        return shares.tell(nowMillis).map { (customer, perSecond) ->
+            CustomerDemand(customer.value, perSecond.toFloat())
+        }
     }
 
     public companion object {
