Stop: no caller is taken on at the end of a graceful stop

Change: after a third of the grace the host stops accepting, refuses new sessions and closes each one as it rests. Test: CallerSessionTest, 'a stopping host refuses late callers, ...'.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -61,6 +61,7 @@
     private var memberNames: Set<String> = emptySet()
     private val waitingSessions = ArrayList<CallerSession>()
     private var stoppingSinceMillis: Long? = null
+    private var isClosing = false
     private var cutOffSinceMillis: Long? = null
     private var configuredAtMillis = Standing.NEVER
 
@@ -136,6 +137,10 @@
      */
     public fun openSession(link: CallerLink, database: String, key: String?): CallerSession {
         val session = CallerSession(this, link, database, key)
+        if (isClosing) {
+            session.refuseStart("the host is stopping, not run")
+            return session
+        }
         sessions += session
         if (canServe()) {
             session.open()
@@ -169,15 +174,20 @@
             standing.isCurrent(timers.nowMillis())
 
     /**
-     * Begins a graceful stop: transactions may finish, then sessions are closed as they come to rest. [done] is called
-     * when all are closed or [graceMillis] have passed.
+     * Begins a graceful stop. For a while callers are served as before, until the balancer sends them elsewhere. Then
+     * [stopAccepting] is called and sessions are closed as they come to rest; transactions have half of [graceMillis]
+     * to end. [done] is called when all are closed or [graceMillis] have passed.
      */
-    public fun stop(graceMillis: Long, done: () -> Unit) {
+    public fun stop(graceMillis: Long, stopAccepting: () -> Unit, done: () -> Unit) {
         if (stoppingSinceMillis != null) return
         val nowMillis = timers.nowMillis()
         stoppingSinceMillis = nowMillis
         log.belief("host", "stopping", "sessions", sessions.size)
-        timers.after(minOf(STILL_SERVING_MILLIS, graceMillis / 3)) { closeIdleSessions() }
+        timers.after(minOf(STILL_SERVING_MILLIS, graceMillis / 3)) {
+            isClosing = true
+            stopAccepting()
+            closeIdleSessions()
+        }
         timers.after(graceMillis / 2) { sessions.toList().forEach { it.abortTransaction("the host is stopping") } }
         finishStop(nowMillis + graceMillis, done)
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -63,6 +63,12 @@
         link.refuse(error)
     }
 
+    /** Tells the caller that there is no session here, and why. */
+    internal fun refuseStart(text: String) {
+        isClosed = true
+        link.refuse(StatementError(ErrorCode.BUSY, text))
+    }
+
     /** Takes one statement of the caller. */
     public fun onStatement(id: String, statement: Statement) {
         if (isClosed) return
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -287,7 +287,7 @@
         fixture.ask(busySession, busy, Statement.Begin(isReadOnly = false))
         var isStopped = false
 
-        fixture.hosts[0].stop(graceMillis = 5_000) { isStopped = true }
+        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) { isStopped = true }
         assertFalse(fixture.hosts[0].isReady())
         fixture.timers.advance(1_800)
 
@@ -301,6 +301,29 @@
         assertTrue(isStopped)
     }
 
+    @Test
+    fun `a stopping host refuses late callers, so that it ends with no statement under way`() {
+        var isAccepting = true
+        var isStopped = false
+        val callers = ArrayList<FakeCaller>()
+        val sessions = HashMap<FakeCaller, CallerSession>()
+        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = { isAccepting = false }) { isStopped = true }
+        repeat(100) {
+            if (!isStopped) {
+                val late = FakeCaller().also { callers += it }
+                sessions[late] =
+                    fixture.hosts[0].openSession(late, "latest", "key").also { it.onStatement("late", read) }
+                fixture.timers.advance(50)
+                sessions.filterKeys { it.isClosed }.values.forEach(fixture.hosts[0]::closeSession)
+            }
+        }
+
+        assertTrue(isStopped && !isAccepting)
+        assertTrue(callers.all { it.refusal?.code == ErrorCode.BUSY || it.answers.size == 1 })
+        fixture.hosts[0].openSession(caller, "latest", "key")
+        assertEquals(ErrorCode.BUSY, caller.refusal?.code)
+    }
+
     @Test
     fun `an idle transaction is ended and leaves nothing behind`() {
         val session = fixture.open(caller)
