--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
@@ -0,0 +1,194 @@
+package dev.cardamomlane.engine.fleet
+
+import dev.cardamomlane.engine.FakeCaller
+import dev.cardamomlane.engine.FakeTarget
+import dev.cardamomlane.engine.HostFixture
+import dev.cardamomlane.engine.session.CallerSession
+import dev.cardamomlane.engine.statement.Access
+import dev.cardamomlane.engine.statement.Statement
+import kotlin.random.Random
+
+/**
+ * One schedule: five hosts, three targets, and faults that a seed draws. Records what targets ran and what callers were
+ * told, and compares them.
+ */
+class FleetSimulation(seed: Int) {
+    private val random = Random(seed)
+    private val fixture = HostFixture(hostCount = HOSTS)
+    private val timers = fixture.timers
+    private val ids = listOf("p", "r1", "r2")
+    private val cutReplicas = HashSet<String>()
+    private val findings = ArrayList<String>()
+    private val commits = HashMap<String, MutableList<Commit>>()
+    private val acknowledgedAtMillis = HashMap<String, Long>()
+    private val refused = HashSet<String>()
+    private val reads = HashMap<String, Read>()
+    private var leader = fixture.targets.target("p")
+    private var writeCount = 0
+    private val callers = List(HOSTS) { Caller(it, DATABASES[it % DATABASES.size]) } + Caller(0, "latest")
+
+    val promotionCount: Int get() = fixture.promotions.size
+    val acknowledgedCount: Int get() = acknowledgedAtMillis.size
+
+    /** Plays the schedule and returns what broke. */
+    fun run(): List<String> {
+        fixture.targets.onCommit = ::onCommit
+        fixture.targets.onRun = ::onRun
+        fixture.onPromoted = ::onPromoted
+        repeat(STEPS) { step ->
+            timers.advance(STEP_MILLIS)
+            replicate()
+            callers.forEach { it.step() }
+            if (step % FAULT_STEPS == 0) fault()
+        }
+        heal()
+        timers.advance(5_000)
+        callers.forEach { it.collect() }
+        check()
+        return findings
+    }
+
+    private fun fault() {
+        val host = "host-${random.nextInt(HOSTS)}"
+        when (random.nextInt(10)) {
+            0 -> fixture.store.isDown = !fixture.store.isDown
+            1 -> fixture.cutHosts += host
+            2 -> fixture.lostLeaders += host
+            3 -> crash(leader)
+            4 -> leader.isSilent = true
+            5 -> cutReplicas += ids.random(random)
+            6 -> leader.lostAnswers = 2
+            else -> heal()
+        }
+    }
+
+    private fun crash(target: FakeTarget) {
+        target.isDown = true
+        fixture.targets.links.filter { it.target === target }.forEach { it.cut() }
+    }
+
+    private fun heal() {
+        fixture.store.isDown = false
+        fixture.cutHosts.clear()
+        fixture.lostLeaders.clear()
+        cutReplicas.clear()
+        for (id in ids) {
+            val target = fixture.targets.target(id)
+            target.isSilent = false
+            if (target.isDown && target !== leader) target.isPrimary = false
+            target.isDown = false
+        }
+    }
+
+    private fun replicate() {
+        if (leader.isDown || leader.isSilent) return
+        for (id in ids) {
+            val target = fixture.targets.target(id)
+            if (target === leader || target.isDown || id in cutReplicas || random.nextInt(3) == 0) continue
+            if (target.isPrimary) continue
+            target.position = leader.position
+            target.log.clear()
+            target.log.addAll(leader.log)
+        }
+    }
+
+    private fun onPromoted(target: FakeTarget) {
+        leader = target
+    }
+
+    private fun onCommit(target: FakeTarget, text: String) {
+        commits.getOrPut(text) { ArrayList() } += Commit(isAtLeader = target === leader)
+    }
+
+    private fun onRun(target: FakeTarget, text: String) {
+        val read = reads[text] ?: return
+        val surviving = leader.log.toHashSet()
+        val held = target.log.toHashSet()
+        val missing = read.mustSee.filter { it in surviving && it !in held }
+        if (missing.isNotEmpty()) findings += "read $text at ${target.id} lacks $missing"
+    }
+
+    private fun check() {
+        for ((text, found) in commits) {
+            if (found.size > 1) findings += "$text was committed ${found.size} times"
+            if (text in refused) findings += "$text was told as not run and committed"
+            if (text in acknowledgedAtMillis && found.none { it.isAtLeader }) {
+                findings += "$text was acknowledged by a replaced primary"
+            }
+        }
+        for (text in acknowledgedAtMillis.keys - commits.keys) findings += "$text was acknowledged and never ran"
+    }
+
+    private class Commit(val isAtLeader: Boolean)
+
+    private class Read(val mustSee: Set<String>)
+
+    /** A caller that writes and reads in turn, and goes on when it has an answer. */
+    private inner class Caller(private val host: Int, private val database: String) {
+        private var link = FakeCaller()
+        private var session: CallerSession? = null
+        private var asked: String? = null
+        private var own = HashSet<String>()
+        private var seen = 0
+
+        fun step() {
+            collect()
+            if (asked != null) return
+            val open = session ?: open() ?: return
+            val text = if (random.nextBoolean()) "WRITE ${writeCount++} x" else "READ ${writeCount++}"
+            asked = text
+            val access = if (text.startsWith("WRITE")) Access.WRITE else Access.READ
+            if (access == Access.READ) reads[text] = Read(mustSee())
+            open.onStatement("id", Statement.Run(access, text))
+        }
+
+        private fun mustSee(): Set<String> {
+            val ageMillis = if (database == "latest") 0 else MAX_STALE_MILLIS
+            val nowMillis = timers.nowMillis()
+            val old = acknowledgedAtMillis.filterValues { it < nowMillis - ageMillis }.keys
+            return if (database == "session") old + own else old.toSet()
+        }
+
+        private fun open(): CallerSession? {
+            link = FakeCaller()
+            seen = 0
+            own.clear()
+            val opened = fixture.hosts[host].openSession(link, database, "key")
+            if (link.isOpened) session = opened
+            return session
+        }
+
+        fun collect() {
+            val text = asked
+            if (link.answers.size > seen && text != null) {
+                seen = link.answers.size
+                asked = null
+                reads.remove(text)
+                told(text, link.answers.last().error?.code?.isNotRun, isSuccess = link.answers.last().error == null)
+            }
+            if (link.isClosed) {
+                session?.let(fixture.hosts[host]::closeSession)
+                session = null
+                asked = null
+            }
+        }
+
+        private fun told(text: String, isNotRun: Boolean?, isSuccess: Boolean) {
+            if (!text.startsWith("WRITE")) return
+            if (isNotRun == true) refused += text
+            if (isSuccess) {
+                acknowledgedAtMillis[text] = timers.nowMillis()
+                own += text
+            }
+        }
+    }
+
+    private companion object {
+        const val HOSTS = 5
+        val DATABASES = listOf("latest", "session", "bounded")
+        const val STEPS = 400
+        const val STEP_MILLIS = 25L
+        const val FAULT_STEPS = 20
+        const val MAX_STALE_MILLIS = 1_500L
+    }
+}
