--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -26,8 +26,25 @@
 
     fun target(id: String): FakeTarget = targetsById.getOrPut(id) { FakeTarget(id) }
 
-    override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink {
-        val link = FakeLink(target(target.id.value), customerName, listener, timers, onRun, onCommit)
+    /** The paths that carry nothing, as `host/target`. */
+    val cutPaths = HashSet<String>()
+
+    /** The dialer of one host. */
+    fun of(host: String): TargetDialer = object : TargetDialer by this {
+        override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
+            open(target, customerName, listener) { "$host/${target.id.value}" in cutPaths }
+    }
+
+    override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
+        open(target, customerName, listener) { false }
+
+    private fun open(
+        target: TargetEntry,
+        customerName: String,
+        listener: TargetLinkListener,
+        isCut: () -> Boolean,
+    ): FakeLink {
+        val link = FakeLink(target(target.id.value), customerName, listener, timers, onRun, onCommit, isCut)
         links += link
         link.open()
         return link
@@ -73,6 +90,7 @@
     private val timers: TimerService,
     private val onRun: (FakeTarget, String) -> Unit = { _, _ -> },
     private val onCommit: (FakeTarget, String) -> Unit = { _, _ -> },
+    private val isCut: () -> Boolean = { false },
 ) : TargetLink {
     private var isClosed = false
     private var state = TransactionState.IDLE
@@ -82,7 +100,7 @@
 
     fun open() {
         timers.after(CONNECT_MILLIS) {
-            if (isClosed || target.isSilent) return@after
+            if (isClosed || target.isSilent || isCut()) return@after
             if (target.isDown) cut() else listener.onOpened(target.position)
         }
     }
@@ -96,7 +114,7 @@
 
     override fun send(statement: TargetStatement) {
         sent += statement
-        timers.after(target.answersInMillis) { if (!isClosed && !target.isSilent) answer(statement) }
+        timers.after(target.answersInMillis) { if (!isClosed && !target.isSilent && !isCut()) answer(statement) }
     }
 
     private fun answer(statement: TargetStatement) {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -54,7 +54,7 @@
             self = Member(name, incarnation = 1, address = name, snapshotAddress = name),
             zone = "a",
             timers = timers,
-            dialer = targets,
+            dialer = targets.of(name),
             store = HostStore(store) { name in lostLeaders },
             network = { address, message -> deliver(name, address, message) },
             promotion = { _, target, holder, fence ->
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
@@ -50,7 +50,7 @@
 
     private fun fault() {
         val host = "host-${random.nextInt(HOSTS)}"
-        when (random.nextInt(10)) {
+        when (random.nextInt(11)) {
             0 -> fixture.store.isDown = !fixture.store.isDown
             1 -> fixture.cutHosts += host
             2 -> fixture.lostLeaders += host
@@ -58,10 +58,24 @@
             4 -> leader.isSilent = true
             5 -> cutReplicas += ids.random(random)
             6 -> leader.lostAnswers = 2
+            7 -> split()
             else -> heal()
         }
     }
 
+    /** One or two hosts keep the primary and lose everything else; the other hosts lose the primary. */
+    private fun split() {
+        val kept = List(2) { random.nextInt(HOSTS) }.toSet()
+        for (host in 0 until HOSTS) {
+            if (host in kept) {
+                fixture.cutHosts += "host-$host"
+                fixture.lostLeaders += "host-$host"
+            } else {
+                fixture.targets.cutPaths += "host-$host/${leader.id}"
+            }
+        }
+    }
+
     private fun crash(target: FakeTarget) {
         target.isDown = true
         fixture.targets.links.filter { it.target === target }.forEach { it.cut() }
@@ -71,6 +85,7 @@
         fixture.store.isDown = false
         fixture.cutHosts.clear()
         fixture.lostLeaders.clear()
+        fixture.targets.cutPaths.clear()
         cutReplicas.clear()
         for (id in ids) {
             val target = fixture.targets.target(id)
@@ -84,8 +99,8 @@
         if (leader.isDown || leader.isSilent) return
         for (id in ids) {
             val target = fixture.targets.target(id)
-            if (target === leader || target.isDown || id in cutReplicas || random.nextInt(3) == 0) continue
-            if (target.isPrimary) continue
+            val isReached = !target.isDown && id !in cutReplicas && random.nextInt(3) != 0
+            if (!isReached || target.isPrimary) continue
             target.position = leader.position
             target.log.clear()
             target.log.addAll(leader.log)
@@ -186,9 +201,9 @@
     private companion object {
         const val HOSTS = 5
         val DATABASES = listOf("latest", "session", "bounded")
-        const val STEPS = 400
+        const val STEPS = 700
         const val STEP_MILLIS = 25L
-        const val FAULT_STEPS = 20
+        const val FAULT_STEPS = 110
         const val MAX_STALE_MILLIS = 1_500L
     }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulationTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulationTest.kt
@@ -22,6 +22,6 @@
     }
 
     private companion object {
-        const val SCHEDULES = 40
+        const val SCHEDULES = 30
     }
 }
