--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -17,13 +17,34 @@
 class FakeTargets(private val timers: TimerService) : TargetDialer {
     private val targetsById = HashMap<String, FakeTarget>()
 
+    /** Hears each statement that ran and each commit. */
+    var onRun: (FakeTarget, String) -> Unit = { _, _ -> }
+    var onCommit: (FakeTarget, String) -> Unit = { _, _ -> }
+
     /** Every connection that was asked for, in order. */
     val links = ArrayList<FakeLink>()
 
     fun target(id: String): FakeTarget = targetsById.getOrPut(id) { FakeTarget(id) }
 
-    override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink {
-        val link = FakeLink(target(target.id.value), customerName, listener, timers)
+    /** The paths that carry nothing, as `host/target`. */
+    val cutPaths = HashSet<String>()
+
+    /** The dialer of one host. */
+    fun of(host: String): TargetDialer = object : TargetDialer by this {
+        override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
+            open(target, customerName, listener) { "$host/${target.id.value}" in cutPaths }
+    }
+
+    override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
+        open(target, customerName, listener) { false }
+
+    private fun open(
+        target: TargetEntry,
+        customerName: String,
+        listener: TargetLinkListener,
+        isCut: () -> Boolean,
+    ): FakeLink {
+        val link = FakeLink(target(target.id.value), customerName, listener, timers, onRun, onCommit, isCut)
         links += link
         link.open()
         return link
@@ -51,6 +72,9 @@
     var answersInMillis = 5L
     val ran = ArrayList<String>()
 
+    /** The commits that its log holds, as the texts of their writes. */
+    val log = ArrayList<String>()
+
     /** Answers the next statements with these codes, without running them. */
     val refusals = ArrayDeque<ErrorCode>()
 
@@ -64,15 +88,19 @@
     val customerName: String,
     private val listener: TargetLinkListener,
     private val timers: TimerService,
+    private val onRun: (FakeTarget, String) -> Unit = { _, _ -> },
+    private val onCommit: (FakeTarget, String) -> Unit = { _, _ -> },
+    private val isCut: () -> Boolean = { false },
 ) : TargetLink {
     private var isClosed = false
     private var state = TransactionState.IDLE
+    private val openWrites = ArrayList<String>()
     val values = HashMap<String, String>()
     val sent = ArrayList<TargetStatement>()
 
     fun open() {
         timers.after(CONNECT_MILLIS) {
-            if (isClosed || target.isSilent) return@after
+            if (isClosed || target.isSilent || isCut()) return@after
             if (target.isDown) cut() else listener.onOpened(target.position)
         }
     }
@@ -86,7 +114,7 @@
 
     override fun send(statement: TargetStatement) {
         sent += statement
-        timers.after(target.answersInMillis) { if (!isClosed && !target.isSilent) answer(statement) }
+        timers.after(target.answersInMillis) { if (!isClosed && !target.isSilent && !isCut()) answer(statement) }
     }
 
     private fun answer(statement: TargetStatement) {
@@ -94,6 +122,9 @@
         if (refusal != null) return reply(error = StatementError(refusal, "test"))
         val after = statement.after()
         if (after != null && target.position < after) return reply(error = StatementError(ErrorCode.LAGGING, "test"))
+        if (statement.needsPrimary() && !target.isPrimary) {
+            return reply(error = StatementError(ErrorCode.READ_ONLY, "test"))
+        }
         run(statement)
         if (statement.runsAtTarget() && target.lostAnswers > 0) {
             target.lostAnswers--
@@ -110,24 +141,44 @@
             is TargetStatement.Commit -> {
                 target.ran += "COMMIT"
                 state = TransactionState.IDLE
-                target.position = target.position.copy(offset = target.position.offset + 1)
+                commit(openWrites)
             }
             is TargetStatement.Rollback -> {
                 target.ran += "ROLLBACK"
                 state = TransactionState.IDLE
+                openWrites.clear()
             }
             is TargetStatement.SetValue -> values[statement.name] = statement.value
             is TargetStatement.Reset -> values.clear()
+            is TargetStatement.Demote -> target.isPrimary = target.isPrimary && target.position.term >= statement.term
             else -> Unit
         }
     }
 
     private fun ranText(text: String) {
         target.ran += text
-        val isWrite = text.startsWith("WRITE") || text.startsWith("w_")
-        if (isWrite && state == TransactionState.IDLE) {
-            target.position = target.position.copy(offset = target.position.offset + 1)
+        onRun(target, text)
+        if (!isWrite(text)) return
+        openWrites += text
+        if (state == TransactionState.IDLE) commit(openWrites)
+    }
+
+    private fun commit(writes: MutableList<String>) {
+        for (write in writes) {
+            target.log += write
+            onCommit(target, write)
         }
+        target.position = target.position.copy(offset = target.position.offset + 1)
+        writes.clear()
+    }
+
+    private fun isWrite(text: String) = text.startsWith("WRITE") || text.startsWith("w_")
+
+    private fun TargetStatement.needsPrimary(): Boolean = when (this) {
+        is TargetStatement.Run -> isWrite(text)
+        is TargetStatement.Execute -> isWrite(name)
+        is TargetStatement.Begin -> !isReadOnly
+        else -> false
     }
 
     private fun rows(statement: TargetStatement): List<String> = if (statement is TargetStatement.Status) {
