--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/DemandSharesTest.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/DemandSharesTest.kt
@@ -14,24 +14,51 @@
     private val customer = CustomerId("press")
     private val allowance = Allowance(ratePerSecond = 80.0, burst = 80.0)
 
-    private inner class Fleet(private val hostCount: Int, seed: Int = 1) {
+    private class Message(
+        val dueAtMillis: Long,
+        val from: Int,
+        val run: Long,
+        val to: Int,
+        val uses: Map<CustomerId, CustomerUse>,
+    )
+
+    private data class Waiting(val atMillis: Long, val host: Int, val askedAtMillis: Long)
+
+    private inner class Fleet(
+        private val hostCount: Int,
+        seed: Int = 1,
+        private val allowance: Allowance = this@DemandSharesTest.allowance,
+    ) {
         private val random = Random(seed)
         private val shares = Array(hostCount) { DemandShares(startedAtMillis = 0) }
+        private val waiting = ArrayList<Waiting>()
+        private val toldAtMillis = LongArray(hostCount)
+        private val runs = LongArray(hostCount)
         private val downHosts = HashSet<Int>()
-        private val pending = ArrayList<Triple<Long, Int, Pair<Int, Map<CustomerId, Double>>>>()
+        private val pending = ArrayList<Message>()
         private val heardAtMillis = HashMap<Pair<Int, Int>, Long>()
         var nowMillis = 0L
             private set
+
+        /** True while hosts with even numbers don't hear those with odd numbers. */
+        var isCut = false
         val admittedAtMillis = ArrayList<Long>()
         var refusedCount = 0
         var askedCount = 0
 
+        /** How many requests one bucket for all hosts would have refused. */
+        var refusedByOneCount = 0
+            private set
+        private var oneTokens = allowance.burst
+        private var oneFilledAtMillis = 0L
+
         fun kill(host: Int) {
             downHosts += host
         }
 
         fun restart(host: Int) {
             shares[host] = DemandShares(startedAtMillis = nowMillis)
+            runs[host]++
             downHosts -= host
         }
 
@@ -40,6 +67,7 @@
             repeat(millis.toInt()) {
                 nowMillis++
                 deliver()
+                askAgain()
                 for (host in 0 until hostCount) {
                     if (host in downHosts) continue
                     if ((nowMillis + host * 31) % TELL_MILLIS == 0L) tell(host)
@@ -50,29 +78,62 @@
 
         private fun ask(host: Int) {
             askedCount++
-            when (shares[host].admit(customer, allowance, hostCount, nowMillis)) {
-                is Admission.Admitted -> admittedAtMillis += nowMillis
-                is Admission.Refused -> refusedCount++
+            askOne()
+            conclude(host, nowMillis, shares[host].admit(customer, allowance, hostCount, nowMillis))
+        }
+
+        private fun askOne() {
+            val newTokens = (nowMillis - oneFilledAtMillis) * allowance.ratePerSecond / 1_000
+            oneTokens = minOf(allowance.burst, oneTokens + newTokens)
+            oneFilledAtMillis = nowMillis
+            if (oneTokens >= 1) oneTokens-- else refusedByOneCount++
+        }
+
+        /** A refused request waits a little when its turn is near, and has its host tell early. */
+        private fun conclude(host: Int, askedAtMillis: Long, admission: Admission) {
+            if (admission is Admission.Refused) {
+                if (nowMillis - toldAtMillis[host] >= EARLY_MILLIS) tell(host)
+                val againAtMillis = nowMillis + admission.retryAfterMillis
+                if (againAtMillis - askedAtMillis <=
+                    PATIENCE_MILLIS
+                ) {
+                    waiting += Waiting(againAtMillis, host, askedAtMillis)
+                } else {
+                    refusedCount++
+                }
+            } else {
+                admittedAtMillis += nowMillis
+            }
+        }
+
+        private fun askAgain() {
+            val due = waiting.filter { it.atMillis <= nowMillis }
+            waiting.removeAll(due)
+            for ((_, host, askedAtMillis) in due) {
+                if (host in downHosts) continue
+                conclude(host, askedAtMillis, shares[host].admitAgain(customer, allowance, hostCount, nowMillis))
             }
         }
 
         private fun tell(host: Int) {
             val heard = (0 until hostCount).filter { nowMillis - (heardAtMillis[host to it] ?: -1_000) < 900 }
             shares[host].retain(heard.mapTo(HashSet()) { HostId("h$it") })
-            val told = shares[host].tell(nowMillis)
+            toldAtMillis[host] = nowMillis
+            val told = shares[host].tell(hostCount, nowMillis)
             for (other in 0 until hostCount) {
                 if (other == host || random.nextInt(100) == 0) continue
-                pending += Triple(nowMillis + 1 + random.nextLong(3), other, host to told)
+                if (isCut && host % 2 != other % 2) continue
+                pending += Message(nowMillis + 1 + random.nextLong(3), host, runs[host], other, told)
             }
         }
 
         private fun deliver() {
-            val due = pending.filter { it.first <= nowMillis }
+            val due = pending.filter { it.dueAtMillis <= nowMillis }
             pending.removeAll(due)
-            for ((_, to, message) in due) {
-                if (to in downHosts) continue
-                heardAtMillis[to to message.first] = nowMillis
-                shares[to].hear(HostId("h${message.first}"), message.second)
+            for (message in due) {
+                if (message.to in downHosts) continue
+                heardAtMillis[message.to to message.from] = nowMillis
+                shares[message.to].hear(HostId("h${message.from}"), message.run, message.uses, nowMillis)
             }
         }
 
@@ -166,8 +227,79 @@
         assertTrue(fleet.refusedCount - before <= 5, "${fleet.refusedCount - before} refused")
     }
 
+    @Test
+    fun `a small customer whose few requests come anywhere is refused hardly more than by one bucket for all`() {
+        var refusedCount = 0
+        var askedCount = 0
+        for (seed in 1..5) {
+            val fleet = Fleet(hostCount = 8, seed = seed, allowance = Allowance(ratePerSecond = 8.0, burst = 8.0))
+            fleet.run(2_000) { 5.0 / 8 }
+            val askedBefore = fleet.askedCount
+            val refusedBefore = fleet.refusedCount
+
+            fleet.run(60_000) { 5.0 / 8 }
+
+            askedCount += fleet.askedCount - askedBefore
+            refusedCount += fleet.refusedCount - refusedBefore - fleet.refusedByOneCount
+        }
+
+        assertTrue(refusedCount <= askedCount / 200, "$refusedCount of $askedCount refused")
+    }
+
+    @Test
+    fun `a customer whose sessions wake together on few hosts is refused hardly anything`() {
+        for (seed in 1..5) {
+            val fleet = Fleet(hostCount = 8, seed = seed)
+            fleet.run(5_000, ::uneven)
+            val before = fleet.refusedCount
+
+            repeat(10) { turn ->
+                fleet.run(300) { if (it == turn % 8) 100.0 else 2.0 }
+                fleet.run(1_000, ::uneven)
+            }
+
+            val refused = fleet.refusedCount - before - fleet.refusedByOneCount
+            assertTrue(refused <= fleet.askedCount / 100, "seed $seed: $refused of ${fleet.askedCount} refused")
+        }
+    }
+
+    @Test
+    fun `hosts that do not hear one another for a while keep to the rate together`() {
+        for (seed in 1..5) {
+            val fleet = Fleet(hostCount = 8, seed = seed)
+            fleet.run(5_000) { uneven(it) * 7.5 }
+            fleet.isCut = true
+            fleet.run(1_500) { uneven(it) * 7.5 }
+            fleet.isCut = false
+            fleet.run(5_000) { uneven(it) * 7.5 }
+
+            assertTrue(fleet.mostInWindow() <= bound, "seed $seed: ${fleet.mostInWindow()} in a window")
+        }
+    }
+
+    @Test
+    fun `a small customer that asks many times its rate keeps to its rate`() {
+        val allowance = Allowance(ratePerSecond = 8.0, burst = 8.0)
+        for (seed in 1..5) {
+            val fleet = Fleet(hostCount = 8, seed = seed, allowance = allowance)
+            fleet.run(3_000) { 0.5 }
+            repeat(4) { turn ->
+                fleet.run(2_000) { if (turn % 2 == 0) 20.0 else 0.3 }
+            }
+
+            assertTrue(
+                fleet.mostInWindow() <= (8 * 5 + 8) * 1.1 + 20,
+                "seed $seed: ${fleet.mostInWindow()} in a window",
+            )
+        }
+    }
+
     private companion object {
         const val TELL_MILLIS = 250L
+        const val EARLY_MILLIS = 60L
+
+        /** A quarter of the shortest goal that operators state. */
+        const val PATIENCE_MILLIS = 50L
         const val WINDOW_MILLIS = 5_000L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -7,6 +7,7 @@
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.limits.Admission
+import dev.cardamomlane.core.limits.CustomerUse
 import dev.cardamomlane.core.limits.DemandShares
 import dev.cardamomlane.core.limits.RefusalReason
 import dev.cardamomlane.engine.config.Configuration
@@ -234,8 +235,12 @@
     override fun onNotes(peer: Peer, notes: List<GroupNote>, nowMillis: Long) {
         val heartbeat = peer.last ?: return
         shares.hear(
-            HostId(peer.member.name),
-            heartbeat.demand.associate { CustomerId(it.customer) to it.perSecond.toDouble() },
+            host = HostId(peer.member.name),
+            run = peer.incarnation,
+            uses = heartbeat.demand.associate {
+                CustomerId(it.customer) to CustomerUse(it.perSecond.toDouble(), it.admittedCount)
+            },
+            nowMillis = nowMillis,
         )
         val newer = heartbeat.configurationVersion
         if (newer > configuration.version) onNewerConfiguration(peer.member, newer)
@@ -333,8 +338,8 @@
 
     override fun demand(nowMillis: Long): List<CustomerDemand> {
         shares.retain(fleet.heardNames(nowMillis).mapTo(HashSet()) { HostId(it) })
-        return shares.tell(nowMillis).map { (customer, perSecond) ->
-            CustomerDemand(customer.value, perSecond.toFloat())
+        return shares.tell(fleet.size, nowMillis).map { (customer, use) ->
+            CustomerDemand(customer.value, use.demandPerSecond.toFloat(), use.admittedCount)
         }
     }
 
