One class holds a success until no other primary can have been in place

Cause: SingleRun and TransactionRun each held the same loop. Change: Acknowledgement. No behaviour changed; the table tests of the session and of takeovers pass.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SingleRun.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SingleRun.kt
@@ -132,10 +132,8 @@
             if (code != null && code.isNotRun && code != ErrorCode.MALFORMED) return onNotRun(code, answer)
             settle(services.timers.nowMillis() - startedAtMillis)
             giveBack(answer)
-            if (statement.access == Access.WRITE &&
-                answer.isSuccess
-            ) {
-                acknowledge(answer)
+            if (statement.access == Access.WRITE && answer.isSuccess) {
+                Acknowledgement(services, group, target, answer, ::finish).start()
             } else {
                 finish(Outcome.of(answer))
             }
@@ -178,18 +176,6 @@
             }
         }
 
-        /** Passes the success on once it is certain that no other primary was in place before. */
-        private fun acknowledge(answer: TargetAnswer, waitedMillis: Long = 0) {
-            when {
-                group.mayAcknowledge(target) -> finish(Outcome.of(answer))
-                group.isReplaced(target) || waitedMillis >= ACKNOWLEDGE_WAIT_MILLIS ->
-                    finish(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the primary may have been replaced"))
-                else -> services.timers.after(ACKNOWLEDGE_STEP_MILLIS) {
-                    acknowledge(answer, waitedMillis + ACKNOWLEDGE_STEP_MILLIS)
-                }
-            }
-        }
-
         override fun abandon() {
             drop()
             finish(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the primary is being replaced"))
@@ -216,7 +202,5 @@
         const val READ_ONLY_PAUSE_MILLIS = 50L
         const val HEDGE_MIN_MILLIS = 180L
         const val HEDGE_FACTOR = 5.0
-        const val ACKNOWLEDGE_STEP_MILLIS = 20L
-        const val ACKNOWLEDGE_WAIT_MILLIS = 1_000L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionRun.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionRun.kt
@@ -185,18 +185,10 @@
         isOver = true
         group.ended(this)
         if (answer.state == TransactionState.IDLE) connection?.release() else connection?.close()
-        if (hasWritten && answer.isSuccess) acknowledge(answer) else deliver(Outcome.of(answer))
-    }
-
-    private fun acknowledge(answer: TargetAnswer, waitedMillis: Long = 0) {
-        val target = pinnedTarget!!
-        when {
-            group.mayAcknowledge(target) -> deliver(Outcome.of(answer))
-            group.isReplaced(target) || waitedMillis >= ACKNOWLEDGE_WAIT_MILLIS ->
-                deliver(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the primary may have been replaced"))
-            else -> services.timers.after(ACKNOWLEDGE_STEP_MILLIS) {
-                acknowledge(answer, waitedMillis + ACKNOWLEDGE_STEP_MILLIS)
-            }
+        if (hasWritten && answer.isSuccess) {
+            Acknowledgement(services, group, target, answer, ::deliver).start()
+        } else {
+            deliver(Outcome.of(answer))
         }
     }
 
@@ -269,7 +261,5 @@
 
     private companion object {
         const val DENIED_PAUSE_MILLIS = 30L
-        const val ACKNOWLEDGE_STEP_MILLIS = 20L
-        const val ACKNOWLEDGE_WAIT_MILLIS = 1_000L
     }
 }
