--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -279,7 +279,7 @@
         const val SILENCE_FACTOR = 6.0
         const val DIAL_TIMEOUT_MILLIS = 600L
         const val CONTROL_TIMEOUT_MILLIS = 500L
-        const val IDLE_CLOSE_MILLIS = 20_000L
+        const val IDLE_CLOSE_MILLIS = 4_000L
         const val FULL_PAUSE_MILLIS = 60L
         const val REFUSED_PAUSE_MILLIS = 150L
         const val REFUSAL_MILLIS = 100L
