lanectl trace: one request's story from the logs of all hosts

On call has only logs. The command reads them from files or standard input, and prints the request's lines with what its hosts and group went through, takeovers and lost targets from every host.

--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ExplainCommand.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ExplainCommand.kt
@@ -47,9 +47,7 @@
 
     private fun rules(): RuleSet {
         val file = rulesFile
-        val text = if (file !=
-            null
-        ) {
+        val text = if (file != null) {
             RuleFile.readText(file)
         } else {
             parent.connected { it.revision(it.head().accepted).rulesText }
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/LaneCtl.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/LaneCtl.kt
@@ -18,7 +18,7 @@
     description = ["Operates a fleet of cardamomlane hosts."],
     subcommands = [
         CheckCommand::class, DiffCommand::class, ApplyCommand::class, ShowCommand::class, StatusCommand::class,
-        ExplainCommand::class, KeyCommand::class, HostCommand::class, VersionCommand::class,
+        ExplainCommand::class, KeyCommand::class, HostCommand::class, TraceCommand::class, VersionCommand::class,
     ],
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = [
--- /dev/null
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/LogLine.kt
@@ -0,0 +1,55 @@
+package dev.cardamomlane.cli
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.longOrNull
+
+/**
+ * One line of a daemon's log.
+ *
+ * @property atMillis when it was written, on the clock of its host
+ * @property id the request that it tells of, or null
+ * @property fields what the event carries, in the order of the line
+ */
+internal class LogLine(
+    val atMillis: Long,
+    val host: String,
+    val part: String,
+    val event: String,
+    val id: String?,
+    val fields: Map<String, String>,
+) {
+    val isOnRequest: Boolean get() = id != null
+
+    companion object {
+        private val heads = setOf("atMillis", "host", "part", "event", "id")
+
+        /** Reads a line, whatever stands before its JSON object; null when there is none that a daemon wrote. */
+        fun parse(text: String): LogLine? {
+            val start = text.indexOf('{')
+            if (start < 0) return null
+            val json = try {
+                Json.parseToJsonElement(text.substring(start)) as? JsonObject
+            } catch (_: SerializationException) {
+                null
+            }
+            return json?.let(::of)
+        }
+
+        private fun of(json: JsonObject): LogLine? {
+            fun text(name: String) = (json[name] as? JsonPrimitive)?.content
+            return LogLine(
+                atMillis = (json["atMillis"] as? JsonPrimitive)?.longOrNull ?: return null,
+                host = text("host") ?: return null,
+                part = text("part") ?: return null,
+                event = text("event") ?: return null,
+                id = text("id"),
+                fields = json.filterKeys { it !in heads }.mapValues { (_, value) ->
+                    (value as? JsonPrimitive)?.content ?: value.toString()
+                },
+            )
+        }
+    }
+}
--- /dev/null
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/TraceCommand.kt
@@ -0,0 +1,93 @@
+package dev.cardamomlane.cli
+
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.ParentCommand
+import java.io.BufferedReader
+import java.io.IOException
+import java.nio.file.Path
+import java.time.Instant
+import java.util.concurrent.Callable
+import kotlin.io.path.bufferedReader
+
+/** Tells one request's story from the logs of the hosts. */
+@Command(
+    name = "trace",
+    description = ["Prints what the hosts logged on one request and around it, in the order of time."],
+)
+internal class TraceCommand : Callable<Int> {
+    @ParentCommand
+    lateinit var parent: LaneCtl
+
+    @Option(
+        names = ["--before"],
+        paramLabel = "MILLIS",
+        defaultValue = "3000",
+        description = ["How long before the request to start. Default: 3000."],
+    )
+    var beforeMillis: Long = 0
+
+    @Option(
+        names = ["--after"],
+        paramLabel = "MILLIS",
+        defaultValue = "500",
+        description = ["How long after the request to end. Default: 500."],
+    )
+    var afterMillis: Long = 0
+
+    @Parameters(index = "0", paramLabel = "ID")
+    lateinit var id: String
+
+    @Parameters(
+        index = "1..*",
+        arity = "0..*",
+        paramLabel = "FILE",
+        description = ["Logs of hosts. Default: standard input."],
+    )
+    var files: List<Path> = emptyList()
+
+    override fun call(): Int {
+        if (beforeMillis < 0 || afterMillis < 0) {
+            throw CommandFailure(ExitCodes.USAGE, "--before and --after must not be negative.")
+        }
+        val readers = if (files.isEmpty()) listOf(System.`in`.bufferedReader()) else files.map(::open)
+        val story = RequestStory.of(id, lines(readers), beforeMillis, afterMillis)
+            ?: throw CommandFailure(ExitCodes.REFUSED, "No line tells of request $id. $MISSING_HINT")
+        story.lines.forEach { parent.out.println(if (parent.json) json(it) else text(it)) }
+        return ExitCodes.OK
+    }
+
+    private fun open(file: Path): BufferedReader = try {
+        file.bufferedReader()
+    } catch (e: IOException) {
+        throw CommandFailure(ExitCodes.USAGE, "Log $file cannot be read: ${e.message}")
+    }
+
+    private fun lines(readers: List<BufferedReader>): Sequence<LogLine> =
+        readers.asSequence().flatMap { it.lineSequence() }.mapNotNull(LogLine::parse)
+
+    private fun text(line: LogLine): String {
+        val mark = if (line.isOnRequest) "*" else " "
+        val fields = line.fields.entries.joinToString(" ") { (name, value) -> "$name=${quoted(value)}" }
+        return "$mark ${Instant.ofEpochMilli(line.atMillis)} ${line.host} ${line.part} ${line.event} $fields".trimEnd()
+    }
+
+    private fun quoted(value: String) = if (' ' in value) "\"$value\"" else value
+
+    private fun json(line: LogLine) = buildJsonObject {
+        put("atMillis", line.atMillis)
+        put("host", line.host)
+        put("part", line.part)
+        put("event", line.event)
+        line.id?.let { put("id", it) }
+        line.fields.forEach { (name, value) -> put(name, value) }
+    }
+
+    private companion object {
+        const val MISSING_HINT =
+            "Successes are not logged, and failures only up to a rate: look for lines log/dropped of that second."
+    }
+}
