--- /dev/null
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/ApplyCommand.kt
@@ -0,0 +1,31 @@
+package dev.cardamomlane.cli
+
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+
+/** Proposes a rule file as the next revision. */
+@Command(name = "apply", description = ["Puts a rule file in force on every host."])
+internal class ApplyCommand : RuleFileCommand() {
+    @Option(
+        names = ["--based-on"],
+        paramLabel = "N",
+        description = ["The revision that the file was edited from. Default: its first line, else the last."],
+    )
+    var basedOn: Long? = null
+
+    @Option(names = ["--supersede"], description = ["Take the place of a revision that is still in proposal."])
+    var supersede: Boolean = false
+
+    @Option(names = ["--wait-seconds"], paramLabel = "S", defaultValue = "30", description = ["Default: 30."])
+    var waitSeconds: Long = 0
+
+    override fun call(): Int {
+        val ruleFile = RuleFile.read(file)
+        return parent.connected { connection ->
+            val editor = RevisionEditor(connection)
+            val revision = editor.applyRules(ruleFile.rulesText, basedOn ?: ruleFile.basedOn, supersede)
+            ruleFile.rebase(revision)
+            ForceWait(connection, parent).until(revision, waitSeconds)
+        }
+    }
+}
