Daemon: a connection is given up as silent only after the target said so twice

The new log line names it: "the connection is silent (idle)". The statement was cancelled after 1 s, when the silence probe asked; the target's "idle" came over another connection before the statement's own answer. Ruled out: a lost connection (the stand-in logged none); a slow target (it said idle, not unreachable). Change: SilenceProbe wants the same word again after 200 ms, and what was heard meanwhile counts.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/retry/SilenceProbe.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/retry/SilenceProbe.kt
@@ -5,17 +5,24 @@
  *
  * While an answer is owed and nothing was heard for [silenceMillis], it wants a question asked on a new connection:
  * whether the target still works on the request. Only a target that is reached and knows nothing of the request, or
- * one that is not reached at all, condemns the connection.
+ * one that is not reached at all, condemns the connection, and only when it says so twice, [confirmMillis] apart: the
+ * answer to a request that has just ended may come after the answer to the question.
  */
-public class SilenceProbe(sentAtMillis: Long, private val silenceMillis: Long = 1_000) {
+public class SilenceProbe(
+    sentAtMillis: Long,
+    private val silenceMillis: Long = 1_000,
+    private val confirmMillis: Long = 200,
+) {
     private var heardAtMillis = sentAtMillis
     private var nextProbeMillis = sentAtMillis + silenceMillis
     private var isProbing = false
+    private var isDoubted = false
 
     /** Takes in that something came over the connection. */
     public fun onHeard(nowMillis: Long) {
         heardAtMillis = nowMillis
         nextProbeMillis = nowMillis + silenceMillis
+        isDoubted = false
     }
 
     /** Whether to ask on a new connection now. Its answer must come to [onProbed]. */
@@ -28,7 +35,10 @@
     /** Returns whether the connection is to be given up, after the target said if it [works] on the request. */
     public fun onProbed(works: Boolean, nowMillis: Long): Boolean {
         isProbing = false
-        nextProbeMillis = nowMillis + silenceMillis
-        return !works && nowMillis - heardAtMillis >= silenceMillis
+        val isSilent = !works && nowMillis - heardAtMillis >= silenceMillis
+        val isGivenUp = isSilent && isDoubted
+        isDoubted = isSilent
+        nextProbeMillis = nowMillis + if (isSilent) confirmMillis else silenceMillis
+        return isGivenUp
     }
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptWatch.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptWatch.kt
@@ -63,15 +63,19 @@
 
     /** Asks on a new connection whether the target still works on this one. */
     private fun watchSilence(nowMillis: Long) {
-        if (connection.lastHeardMillis > heardAtMillis) {
-            heardAtMillis = connection.lastHeardMillis
-            silence.onHeard(heardAtMillis)
-        }
+        noteHeard()
         if (!silence.wantsProbe(nowMillis)) return
         services.probe.check(place.lane.target, connection.processId).subscribe { state -> onProbed(state) }
     }
 
+    private fun noteHeard() {
+        if (connection.lastHeardMillis <= heardAtMillis) return
+        heardAtMillis = connection.lastHeardMillis
+        silence.onHeard(heardAtMillis)
+    }
+
     private fun onProbed(state: ConnectionState) {
+        noteHeard()
         val works = state == ConnectionState.ACTIVE
         val isSilent = silence.onProbed(works, services.timers.nowMillis())
         if (isSilent && !ended) connection.abort(IOException("the connection is silent (${state.name.lowercase()})"))
