--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/LogLine.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/LogLine.kt
@@ -12,6 +12,7 @@
  * @property atMillis when it was written, on the clock of its host
  * @property id the request that it tells of, or null
  * @property fields what the event carries, in the order of the line
+ * @property json the whole line
  */
 internal class LogLine(
     val atMillis: Long,
@@ -20,6 +21,7 @@
     val event: String,
     val id: String?,
     val fields: Map<String, String>,
+    val json: JsonObject,
 ) {
     val isOnRequest: Boolean get() = id != null
 
@@ -49,6 +51,7 @@
                 fields = json.filterKeys { it !in heads }.mapValues { (_, value) ->
                     (value as? JsonPrimitive)?.content ?: value.toString()
                 },
+                json = json,
             )
         }
     }
--- a/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/TraceCommand.kt
+++ b/cardamomlane-cli/src/main/kotlin/dev/cardamomlane/cli/TraceCommand.kt
@@ -1,7 +1,5 @@
 package dev.cardamomlane.cli
 
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import picocli.CommandLine.Parameters
@@ -56,7 +54,7 @@
         val readers = if (files.isEmpty()) listOf(System.`in`.bufferedReader()) else files.map(::open)
         val story = RequestStory.of(id, lines(readers), beforeMillis, afterMillis)
             ?: throw CommandFailure(ExitCodes.REFUSED, "No line tells of request $id. $MISSING_HINT")
-        story.lines.forEach { parent.out.println(if (parent.json) json(it) else text(it)) }
+        story.lines.forEach { parent.out.println(if (parent.json) it.json else text(it)) }
         return ExitCodes.OK
     }
 
@@ -77,15 +75,6 @@
 
     private fun quoted(value: String) = if (' ' in value) "\"$value\"" else value
 
-    private fun json(line: LogLine) = buildJsonObject {
-        put("atMillis", line.atMillis)
-        put("host", line.host)
-        put("part", line.part)
-        put("event", line.event)
-        line.id?.let { put("id", it) }
-        line.fields.forEach { (name, value) -> put(name, value) }
-    }
-
     private companion object {
         const val MISSING_HINT =
             "Successes are not logged, and failures only up to a rate: look for lines log/dropped of that second."
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -19,6 +19,7 @@
 import dev.cardamomlane.engine.fleet.GroupNotes
 import dev.cardamomlane.engine.fleet.Member
 import dev.cardamomlane.engine.fleet.Peer
+import dev.cardamomlane.engine.fleet.PeerMessage
 import dev.cardamomlane.engine.fleet.PeerNetwork
 import dev.cardamomlane.engine.fleet.PromotionCall
 import dev.cardamomlane.engine.fleet.Standing
@@ -37,8 +38,6 @@
 /**
  * One entry host: its sessions, its groups and its place in the fleet. Everything runs on one event loop; nothing
  * here blocks, reads a clock or opens a socket by itself.
- *
- * @param mayTakeOver false on a host that must not lead takeovers
  */
 public class ProxyHost(
     private val self: Member,
@@ -101,7 +100,7 @@
     }
 
     /** Takes in a datagram of another host. */
-    public fun onPeerMessage(message: dev.cardamomlane.engine.fleet.PeerMessage) {
+    public fun onPeerMessage(message: PeerMessage) {
         fleet.onMessage(message)
     }
 
@@ -338,7 +337,7 @@
     }
 
     override fun demand(nowMillis: Long): List<CustomerDemand> {
-        shares.retain(fleet.heardNames(nowMillis).mapTo(HashSet()) { HostId(it) })
+        shares.retain(fleet.heardPeers(nowMillis).mapTo(HashSet()) { HostId(it.member.name) })
         return shares.tell(fleet.size, nowMillis).map { (customer, use) ->
             CustomerDemand(customer.value, use.demandPerSecond.toFloat(), use.admittedCount)
         }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -32,6 +32,8 @@
     private var membersHash = 0
     private var heartbeatAtMillis = Standing.NEVER
     private var isHeartbeatDue = false
+    private val droppedAtMillis = HashMap<String, Long>()
+    private val addedAtMillis = HashMap<Member, Long>()
 
     /** The other hosts. */
     public val peers: Collection<Peer> get() = peersByName.values
@@ -110,9 +112,9 @@
         }
     }
 
-    /** The names of the other hosts that were heard lately. */
-    public fun heardNames(nowMillis: Long): List<String> =
-        peersByName.values.filter { it.isHeard(nowMillis, HEARD_MILLIS) }.map { it.member.name }
+    /** The other hosts that were heard lately. */
+    public fun heardPeers(nowMillis: Long): List<Peer> =
+        peersByName.values.filter { it.isHeard(nowMillis, HEARD_MILLIS) }
 
     /** Takes in a datagram. */
     public fun onMessage(message: PeerMessage) {
@@ -133,7 +135,7 @@
     }
 
     /** The members that were heard lately, this host included. */
-    public fun heardCount(nowMillis: Long): Int = 1 + peersByName.values.count { it.isHeard(nowMillis, HEARD_MILLIS) }
+    public fun heardCount(nowMillis: Long): Int = 1 + heardPeers(nowMillis).size
 
     /** True when the run of a host that [holder] names, as `host#incarnation`, is heard no more. */
     public fun isGone(holder: String, nowMillis: Long): Boolean {
@@ -142,13 +144,11 @@
     }
 
     /** This host's place among the hosts heard lately, by name; the first one leads. */
-    public fun rank(nowMillis: Long): Int =
-        peersByName.values.count { it.isHeard(nowMillis, HEARD_MILLIS) && it.member.name < self.name }
+    public fun rank(nowMillis: Long): Int = heardPeers(nowMillis).count { it.member.name < self.name }
 
     /** True when every host heard lately knows the same members. */
-    public fun agreesOnMembers(nowMillis: Long): Boolean = isRegistered && peersByName.values.none {
-        it.isHeard(nowMillis, HEARD_MILLIS) && it.last?.membersHash != membersHash
-    }
+    public fun agreesOnMembers(nowMillis: Long): Boolean =
+        isRegistered && heardPeers(nowMillis).none { it.last?.membersHash != membersHash }
 
     /**
      * A takeover promotes only a while after a majority knew of it. So the word of a majority, this host included, is
@@ -209,9 +209,7 @@
         for (peer in peersByName.values) {
             if (peer.isHeard(nowMillis, DEAD_MILLIS) || wasAddedLately(peer, nowMillis)) continue
             val bit = names.indexOf(peer.member.name)
-            val isHeardElsewhere = peersByName.values.any {
-                it.isHeard(nowMillis, HEARD_MILLIS) && hasBit(it.last?.heardMembers ?: 0, bit)
-            }
+            val isHeardElsewhere = heardPeers(nowMillis).any { hasBit(it.last?.heardMembers ?: 0, bit) }
             val row = rows[peer.member.name]
             if (isHeardElsewhere || row == null ||
                 nowMillis - (droppedAtMillis[row.member.name] ?: Standing.NEVER) < DEAD_MILLIS
@@ -226,9 +224,6 @@
         }
     }
 
-    private val droppedAtMillis = HashMap<String, Long>()
-    private val addedAtMillis = HashMap<Member, Long>()
-
     private fun wasAddedLately(peer: Peer, nowMillis: Long): Boolean =
         nowMillis - addedAtMillis.getOrPut(peer.member) { nowMillis } < DEAD_MILLIS
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Standing.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Standing.kt
@@ -29,9 +29,6 @@
     /** The record of [group], or null when no takeover has been recorded. */
     public fun record(group: DatabaseId): GroupRecord? = records[group]
 
-    /** Every record. */
-    public fun all(): Collection<GroupRecord> = records.values
-
     /** True while the records are proved to be younger than the bound. */
     public fun isCurrent(nowMillis: Long): Boolean = nowMillis - provedAtMillis < MAX_AGE_MILLIS
 
@@ -57,12 +54,6 @@
         for (record in newer) listeners.forEach { it(record) }
     }
 
-    /** Drops all proof, as after the host was suspended. */
-    public fun distrust() {
-        provedAtMillis = NEVER
-        steadyProofMillis.clear()
-    }
-
     public companion object {
         /** The age up to which proof counts; with a host out of reach, a takeover takes at least as long. */
         public const val MAX_AGE_MILLIS: Long = 1_500
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -32,26 +32,21 @@
     private val customerName: () -> String?,
 ) {
     private val standing = fleet.standing
+    private val doubt = PrimaryDoubt(group, fleet, customerName)
+    private val demotions = Demotions(group, customerName)
     private var phase: Phase = Phase.Watching
     private var changingSinceMillis = 0L
     private var changingVersion = -1L
-    private var suspectedSinceMillis: Long? = null
-    private var partSinceMillis: Long? = null
-    private var primaryMissingSinceMillis: Long? = null
     private var plannedPauseUntilMillis = Standing.NEVER
     private var fewSinceMillis: Long? = null
     private var isBusy = false
-    private var probedAtMillis = Standing.NEVER
     private val rejected = HashSet<TargetId>()
 
-    /** The targets that a takeover replaced and that may not know it. */
-    private val toDemote = LinkedHashMap<TargetId, Demotion>()
-
     /** Looks at the group and takes the next step. Called at a short interval. */
     public fun tick() {
         val nowMillis = timers.nowMillis()
         noteChange(nowMillis)
-        demoteOld(nowMillis)
+        demotions.tick(nowMillis)
         when (val now = phase) {
             is Phase.Watching -> watch(nowMillis)
             is Phase.Claiming -> Unit
@@ -87,79 +82,11 @@
             if (stalledMillis >= patienceMillis) claim("stalled takeover", record.isPlanned, nowMillis)
             return
         }
-        val reason = reasonToReplace(nowMillis) ?: return
+        val reason = doubt.reason(nowMillis, mayPlan = nowMillis >= plannedPauseUntilMillis) ?: return
         val dueMillis = reason.sinceMillis + reason.patienceMillis + fleet.rank(nowMillis) * RANK_STEP_MILLIS
         if (nowMillis >= dueMillis) claim(reason.text, reason.isPlanned, nowMillis)
     }
 
-    private fun reasonToReplace(nowMillis: Long): Reason? {
-        val primary = group.primary ?: return missingPrimary(nowMillis)
-        primaryMissingSinceMillis = null
-        if (group.targets.none { it !== primary && isCandidate(it) }) return null
-        return leaving(primary, nowMillis) ?: lost(primary, nowMillis) ?: partlyReached(primary, nowMillis)
-    }
-
-    private fun missingPrimary(nowMillis: Long): Reason? {
-        val isKnownElsewhere = heardPeers(nowMillis).any { peer ->
-            (peer.note(group.id.value)?.primaryHeardMillis ?: -1) in 0 until MISSING_MILLIS
-        }
-        if (group.targets.none(::isCandidate) || isKnownElsewhere) {
-            primaryMissingSinceMillis = null
-            return null
-        }
-        val since = primaryMissingSinceMillis ?: nowMillis.also { primaryMissingSinceMillis = it }
-        return Reason("no primary is listed", isPlanned = false, since, MISSING_MILLIS)
-    }
-
-    private fun leaving(primary: Target, nowMillis: Long): Reason? {
-        if (!primary.entry.isDraining || primary.unreachableSinceMillis != null) return null
-        if (nowMillis < plannedPauseUntilMillis) return null
-        return Reason("primary is leaving", isPlanned = true, sinceMillis = nowMillis, patienceMillis = 0)
-    }
-
-    private fun lost(primary: Target, nowMillis: Long): Reason? {
-        val ownSince = primary.unreachableSinceMillis ?: primary.goneAtMillis
-        val isHeardElsewhere = heardPeers(nowMillis).any { peer ->
-            val heardMillis = peer.note(group.id.value)?.primaryHeardMillis ?: -1
-            heardMillis in 0 until LOST_MILLIS && primary.entry.id.value !in unreachableFor(peer)
-        }
-        if (ownSince == null) probeIfDoubted(primary, nowMillis)
-        if (ownSince == null || isHeardElsewhere) {
-            suspectedSinceMillis = null
-            return null
-        }
-        val since = suspectedSinceMillis ?: ownSince.also { suspectedSinceMillis = it }
-        val patienceMillis = if (primary.isRefusing) REFUSED_MILLIS else LOST_MILLIS
-        return Reason("primary does not answer", isPlanned = false, since, patienceMillis)
-    }
-
-    /** Asks the primary something when another host can't reach it, so that the hosts soon agree. */
-    private fun probeIfDoubted(primary: Target, nowMillis: Long) {
-        if (nowMillis - probedAtMillis < PROBE_MILLIS || nowMillis - primary.heardAtMillis < PROBE_MILLIS) return
-        if (heardPeers(nowMillis).none { primary.entry.id.value in unreachableFor(it) }) return
-        val customer = customerName() ?: return
-        probedAtMillis = nowMillis
-        primary.status(customer) { _, _ -> }
-    }
-
-    private fun partlyReached(primary: Target, nowMillis: Long): Reason? {
-        val doubting = heardPeers(nowMillis).count { primary.entry.id.value in unreachableFor(it) }
-        val isPart = doubting >= fleet.heardCount(nowMillis) * PART && doubting > 0
-        if (!isPart || nowMillis < plannedPauseUntilMillis) {
-            partSinceMillis = null
-            return null
-        }
-        val since = partSinceMillis ?: nowMillis.also { partSinceMillis = it }
-        return Reason("primary is out of reach of many hosts", isPlanned = true, since, PART_MILLIS)
-    }
-
-    private fun heardPeers(nowMillis: Long) = fleet.peers.filter { it.isHeard(nowMillis, PEER_MILLIS) }
-
-    private fun unreachableFor(peer: Peer): List<String> = peer.note(group.id.value)?.unreachable ?: emptyList()
-
-    private fun isCandidate(target: Target): Boolean =
-        target.goneAtMillis == null && !target.entry.isDraining && target.unreachableSinceMillis == null
-
     private fun claim(reason: String, isPlanned: Boolean, nowMillis: Long) {
         if (!standing.isCurrent(nowMillis) || !fleet.agreesOnMembers(nowMillis)) return
         if (!canBlock(nowMillis)) return
@@ -266,20 +193,18 @@
         if (leading != null) return publishAs(record, leading.key, leading.value.term)
         val old = answers.entries.firstOrNull { it.key.entry.id == record.primary && it.value.isPrimary }
         val candidates = answers.filter { (target, status) ->
-            !status.isPrimary && isCandidate(target) && target.entry.id !in rejected
+            !status.isPrimary && doubt.mayLead(target) && target.entry.id !in rejected
         }
         val best = candidates.entries.maxWithOrNull(
-            compareBy({ it.value.received }, { -doubtCount(it.key, nowMillis) }),
+            compareBy({ it.value.received }, { -doubt.count(it.key, nowMillis) }),
         )
         val waitedMillis = nowMillis - now.startedAtMillis
+        val isCatchUpOver = waitedMillis > CATCH_UP_MILLIS
         when {
-            best == null -> if (old != null &&
-                waitedMillis > CATCH_UP_MILLIS
-            ) {
-                giveUp(record, old.key, "no replica can lead")
-            }
+            best == null ->
+                if (old != null && isCatchUpOver) giveUp(record, old.key, "no replica can lead")
             record.isPlanned && old != null && best.value.received < old.value.received ->
-                if (waitedMillis > CATCH_UP_MILLIS) giveUp(record, old.key, "no replica caught up")
+                if (isCatchUpOver) giveUp(record, old.key, "no replica caught up")
             mustHearAllReplicas() && !hasHeardAll(record, answers) && waitedMillis < ALL_REPLICAS_MILLIS -> Unit
             else -> promote(record, best.key, best.value, nowMillis)
         }
@@ -288,9 +213,6 @@
     private fun hasHeardAll(record: GroupRecord, answers: Map<Target, TargetStatus>): Boolean =
         group.targets.filter { it.goneAtMillis == null && it.entry.id != record.primary }.all { it in answers }
 
-    private fun doubtCount(target: Target, nowMillis: Long): Int =
-        heardPeers(nowMillis).count { target.entry.id.value in unreachableFor(it) }
-
     /** Ends the takeover with the old primary in place, which was never replaced. */
     private fun giveUp(record: GroupRecord, old: Target, reason: String) {
         log.belief("takeover", "given_up", "group", group.id.value, "reason", reason)
@@ -307,7 +229,7 @@
             "takeover", "promote", "group", group.id.value, "target", target.entry.id.value, "fence", record.fence,
             "received", status.received, "term", status.term,
         )
-        phase = Phase.Promoting(record, target, status.term, sentAtMillis = nowMillis)
+        phase = Phase.Promoting(record, target, sentAtMillis = nowMillis)
         promotion.promote(group.id, target.entry.id, record.holder, record.fence).subscribe(
             { outcome -> onPromotion(target, outcome) },
             { failure -> log.belief("takeover", "promote_unanswered", "reason", failure.message) },
@@ -360,8 +282,8 @@
         }
         phase = Phase.Watching
         changingVersion = outcome.version
-        if (now.primary != now.record.primary) toDemote[now.record.primary] = Demotion(now.term, timers.nowMillis())
-        toDemote.remove(now.primary)
+        if (now.primary != now.record.primary) demotions.add(now.record.primary, now.term, timers.nowMillis())
+        demotions.remove(now.primary)
         standing.learn(listOf(record.copy(version = outcome.version)), Standing.NEVER)
         log.belief(
             "takeover", "published", "group", group.id.value, "primary", now.primary.value, "term", now.term,
@@ -370,30 +292,6 @@
         fleet.heartbeat()
     }
 
-    private fun demoteOld(nowMillis: Long) {
-        val customer = customerName() ?: return
-        val entries = toDemote.entries.iterator()
-        while (entries.hasNext()) {
-            val (id, demotion) = entries.next()
-            val target = group.targets.firstOrNull { it.entry.id == id }
-            if (target == null || nowMillis - demotion.sinceMillis > DEMOTE_MILLIS) {
-                entries.remove()
-            } else if (target.unreachableSinceMillis == null &&
-                nowMillis - demotion.triedAtMillis > DEMOTE_RETRY_MILLIS
-            ) {
-                demotion.triedAtMillis = nowMillis
-                target.demote(customer, demotion.term) { isDone -> if (isDone) toDemote.remove(id) }
-                return
-            }
-        }
-    }
-
-    private class Demotion(val term: Long, val sinceMillis: Long) {
-        var triedAtMillis = Standing.NEVER
-    }
-
-    private class Reason(val text: String, val isPlanned: Boolean, val sinceMillis: Long, val patienceMillis: Long)
-
     private sealed interface Phase {
         data object Watching : Phase
 
@@ -405,7 +303,7 @@
 
         class Surveying(val record: GroupRecord, val startedAtMillis: Long) : Phase
 
-        class Promoting(val record: GroupRecord, val target: Target, val oldTerm: Long, val sentAtMillis: Long) : Phase
+        class Promoting(val record: GroupRecord, val target: Target, val sentAtMillis: Long) : Phase
 
         class Publishing(val record: GroupRecord, val primary: TargetId, val term: Long) : Phase {
             var notBeforeMillis = Standing.NEVER
@@ -414,13 +312,6 @@
 
     private companion object {
         val UNKNOWN_TARGET = TargetId("-")
-        const val LOST_MILLIS = 500L
-        const val REFUSED_MILLIS = 150L
-        const val MISSING_MILLIS = 2_500L
-        const val PART = 0.35
-        const val PART_MILLIS = 500L
-        const val PEER_MILLIS = 900L
-        const val PROBE_MILLIS = 150L
         const val RANK_STEP_MILLIS = 60L
         const val STALLED_MILLIS = 3_000L
         const val GONE_HOLDER_MILLIS = 1_000L
@@ -435,7 +326,5 @@
         const val PUBLISH_RETRY_MILLIS = 200L
         const val RETRY_PAUSE_MILLIS = 300L
         const val GIVE_UP_PAUSE_MILLIS = 4_000L
-        const val DEMOTE_MILLIS = 20_000L
-        const val DEMOTE_RETRY_MILLIS = 400L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -32,12 +32,12 @@
     private val waiting = WorkQueue()
     private val trail = PositionTrail()
     private var trailPrimary: TargetId? = null
-    private var probedAtMillis = Long.MIN_VALUE / 2
+    private var probedAtMillis = Standing.NEVER
     private var isPumping = false
 
     private val openWrites = LinkedHashSet<OpenWrite>()
     private val openTransactions = HashSet<Any>()
-    private var changedAtMillis = Long.MIN_VALUE / 2
+    private var changedAtMillis = Standing.NEVER
 
     /** The takeover for which this host has confirmed that it acknowledges no more writes. */
     public var confirmedVersion: Long = 0
@@ -49,22 +49,16 @@
     /** Called when the primary can't be reached any more. */
     public var onPrimaryUnreachable: () -> Unit = {}
 
-    /** How many writes and commits were sent and have no outcome yet. */
-    public val openWriteCount: Int get() = openWrites.size
-
     /** A customer's name to open connections with that serve no caller. */
     public var controlCustomer: String? = null
 
     /** When the last statement was offered. */
-    internal var usedAtMillis = Long.MIN_VALUE / 2
+    internal var usedAtMillis = Standing.NEVER
         private set
 
     /** The targets, gone ones included until they are dropped. */
     public val targets: Collection<Target> get() = targetsById.values
 
-    /** How many statements wait. */
-    public val waitingCount: Int get() = waiting.size
-
     /** The target that the newest record, or without one the targets themselves, name as primary. */
     public val primary: Target?
         get() {
@@ -239,12 +233,8 @@
     private fun isBehind(target: Target, position: LogPosition, nowMillis: Long): Boolean {
         val applied = target.appliedPosition ?: return false
         if (applied >= position) return false
-        val lookAgainMillis = (
-            trail.lagMillis(
-                applied,
-                nowMillis,
-            ) / LAG_PART
-            ).coerceIn(BEHIND_MILLIS, BEHIND_LONG_MILLIS)
+        val lagMillis = trail.lagMillis(applied, nowMillis)
+        val lookAgainMillis = (lagMillis / LAG_PART).coerceIn(BEHIND_MILLIS, BEHIND_LONG_MILLIS)
         return nowMillis - target.appliedAtMillis < lookAgainMillis
     }
 
@@ -339,7 +329,7 @@
     internal fun isReplaced(target: Target): Boolean =
         standing.record(id)?.let { it.primary != target.entry.id || isConfirmed(it) } ?: false
 
-    private fun isConfirmed(record: GroupRecord) = record.isChanging && confirmedVersion == record.version
+    private fun isConfirmed(record: GroupRecord) = record.isChanging && hasConfirmed(record.version)
 
     /** True once this host sends and acknowledges no write under the takeover of record [version]. */
     public fun hasConfirmed(version: Long): Boolean = confirmedVersion == version
@@ -357,7 +347,7 @@
             return
         }
         if (record.primary != trailPrimary) trail.clear()
-        probedAtMillis = Long.MIN_VALUE / 2
+        probedAtMillis = Standing.NEVER
         abandonWrites(record)
         probePosition(timers.nowMillis())
         pump()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/WorkQueue.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/WorkQueue.kt
@@ -26,13 +26,8 @@
     }
 
     /** A copy in the order of service. */
-    fun inOrder(): List<Work> = if (entries.size ==
-        1
-    ) {
-        entries.keys.toList()
-    } else {
-        entries.values.sorted().map { it.work }
-    }
+    fun inOrder(): List<Work> =
+        if (entries.size == 1) entries.keys.toList() else entries.values.sorted().map { it.work }
 
     /** How many statements go before [work]. */
     fun countAhead(work: Work): Int {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -43,9 +43,6 @@
     /** True when the session rests between operations. */
     public val isIdle: Boolean get() = current == null && transaction == null && pending.isEmpty()
 
-    /** True while a transaction is open. */
-    public val isInTransaction: Boolean get() = transaction != null
-
     /** Tells the caller that the session is open, or why it can't be. */
     internal fun open() {
         if (isClosed) return
@@ -125,20 +122,8 @@
         val open = transaction
         when (val statement = incoming.statement) {
             is Statement.Unreadable -> malformed(incoming, statement.reason)
-            is Statement.Commit -> if (open ==
-                null
-            ) {
-                malformed(incoming, "no transaction is open")
-            } else {
-                commit(incoming, open)
-            }
-            is Statement.Rollback -> if (open ==
-                null
-            ) {
-                malformed(incoming, "no transaction is open")
-            } else {
-                rollback(incoming, open)
-            }
+            is Statement.Commit -> ending(incoming, open, ::commit)
+            is Statement.Rollback -> ending(incoming, open, ::rollback)
             else -> when {
                 open?.failure != null -> malformed(incoming, "the transaction failed: ${open.failure}")
                 else -> handleUsual(incoming, statement, open)
@@ -146,6 +131,10 @@
         }
     }
 
+    private fun ending(incoming: Incoming, open: Transaction?, end: (Incoming, Transaction) -> Unit) {
+        if (open == null) malformed(incoming, "no transaction is open") else end(incoming, open)
+    }
+
     private fun handleUsual(incoming: Incoming, statement: Statement, open: Transaction?) {
         when (statement) {
             is Statement.SetValue -> {
@@ -160,13 +149,8 @@
                 prepared.remove(statement.name)
                 done(incoming)
             }
-            is Statement.Begin -> if (open !=
-                null
-            ) {
-                malformed(incoming, "a transaction is open")
-            } else {
-                begin(incoming, statement)
-            }
+            is Statement.Begin ->
+                if (open == null) begin(incoming, statement) else malformed(incoming, "a transaction is open")
             is Statement.Run -> run(
                 incoming,
                 StatementRun(incoming.id, statement.access, statement.text, plan = null),
@@ -290,13 +274,7 @@
         then: () -> Unit,
     ) {
         if (isClosed) return
-        val admission = if (customer ==
-            null
-        ) {
-            Admission.Admitted
-        } else {
-            services.gate.admit(customer, triesLeft < MAX_TRIES)
-        }
+        val admission = customer?.let { services.gate.admit(it, triesLeft < MAX_TRIES) } ?: Admission.Admitted
         if (admission !is Admission.Refused) return then()
         val waitedMillis = services.timers.nowMillis() - incoming.arrivedAtMillis
         val isSoon = waitedMillis + admission.retryAfterMillis <= route.goalMillis / GOAL_PART
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SingleRun.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SingleRun.kt
@@ -10,7 +10,6 @@
 import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.TargetAnswer
-import dev.cardamomlane.engine.statement.TransactionState
 import dev.cardamomlane.engine.target.PooledConnection
 import dev.cardamomlane.engine.target.Target
 
@@ -131,7 +130,7 @@
             val code = answer.error?.code
             if (code != null && code.isNotRun && code != ErrorCode.MALFORMED) return onNotRun(code, answer)
             settle(services.timers.nowMillis() - startedAtMillis)
-            giveBack(answer)
+            connection.giveBack(answer)
             if (statement.access == Access.WRITE && answer.isSuccess) {
                 Acknowledgement(services, group, target, answer, ::finish).start()
             } else {
@@ -139,15 +138,11 @@
             }
         }
 
-        private fun giveBack(answer: TargetAnswer) {
-            if (answer.state == TransactionState.IDLE) connection.release() else connection.close()
-        }
-
         private fun onNotRun(code: ErrorCode, answer: TargetAnswer) {
             services.log.request(statement.id, "not_run", "target", target.entry.id.value, "code", code)
             if (code == ErrorCode.BUSY) target.backOff(BUSY_PAUSE_MILLIS)
             settle(null)
-            if (code == ErrorCode.UNKNOWN_STATEMENT) connection.close() else giveBack(answer)
+            if (code == ErrorCode.UNKNOWN_STATEMENT) connection.close() else connection.giveBack(answer)
             work!!.avoid(target, services.timers.nowMillis() + pauseMillis(code))
             again()
         }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionRun.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionRun.kt
@@ -44,7 +44,7 @@
     var isFailed = false
         private set
 
-    /** Why the transaction failed, for the answers to its other statements. */
+    /** True once nothing more is to be sent. */
     private var isOver = false
 
     /** Runs [statement]; [done] hears its outcome once. */
@@ -66,9 +66,7 @@
         val connection = pinned ?: return
         pinned = null
         if (next != null || connection.oldestSentMillis != null) return connection.close()
-        connection.execute(TargetStatement.Rollback) { answer ->
-            if (answer != null && answer.state == TransactionState.IDLE) connection.release() else connection.close()
-        }
+        rollback(connection)
     }
 
     private fun begin(step: Step) {
@@ -114,7 +112,7 @@
             when {
                 answer == null -> startFailed(target, connection, work, isCounted = false)
                 !answer.isSuccess -> onBeginDenied(work, target, connection, answer)
-                isOver -> endUnused(connection)
+                isOver -> rollback(connection)
                 else -> {
                     work.end()
                     queued = null
@@ -127,10 +125,8 @@
         }
     }
 
-    private fun endUnused(connection: PooledConnection) {
-        connection.execute(TargetStatement.Rollback) { answer ->
-            if (answer?.state == TransactionState.IDLE) connection.release() else connection.close()
-        }
+    private fun rollback(connection: PooledConnection) {
+        connection.execute(TargetStatement.Rollback) { answer -> connection.giveBack(answer) }
     }
 
     private fun startFailed(target: Target, connection: PooledConnection, work: Work, isCounted: Boolean = true) {
@@ -140,7 +136,7 @@
     }
 
     private fun onBeginDenied(work: Work, target: Target, connection: PooledConnection, answer: TargetAnswer) {
-        if (answer.state == TransactionState.IDLE) connection.release() else connection.close()
+        connection.giveBack(answer)
         services.log.request(work.id, "begin_denied", "target", target.entry.id.value, "code", answer.error?.code)
         work.avoid(target, services.timers.nowMillis() + DENIED_PAUSE_MILLIS)
         if (!isOver) group.resubmit(work)
@@ -175,7 +171,7 @@
         if (next !== step) return
         if (answer == null) return lost()
         if (step.statement == null) return onCommitted(answer)
-        if (answer.state != TransactionState.OPEN) fail()
+        if (answer.state != TransactionState.OPEN) isFailed = true
         deliver(Outcome.of(answer))
     }
 
@@ -184,7 +180,7 @@
         pinned = null
         isOver = true
         group.ended(this)
-        if (answer.state == TransactionState.IDLE) connection?.release() else connection?.close()
+        connection?.giveBack(answer)
         if (hasWritten && answer.isSuccess) {
             Acknowledgement(services, group, target, answer, ::deliver).start()
         } else {
@@ -213,20 +209,16 @@
     }
 
     private fun end() {
-        fail()
+        isFailed = true
         isOver = true
         group.ended(this)
         pinned?.close()
         pinned = null
     }
 
-    private fun fail() {
-        isFailed = true
-    }
-
     override fun refuse(work: Work, code: ErrorCode, reason: String) {
         queued = null
-        fail()
+        isFailed = true
         isOver = true
         deliver(Outcome.error(code, reason))
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
@@ -6,6 +6,7 @@
 import dev.cardamomlane.engine.statement.StatementError
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.statement.TargetStatement
+import dev.cardamomlane.engine.statement.TransactionState
 
 /**
  * One connection to a target, with the session values and prepared statements that it holds.
@@ -91,6 +92,11 @@
         target.released(this)
     }
 
+    /** Gives the connection back after [answer], or closes it when that left a transaction open or never came. */
+    public fun giveBack(answer: TargetAnswer?) {
+        if (answer?.state == TransactionState.IDLE) release() else close()
+    }
+
     override fun onOpened(position: LogPosition?) {
         isOpen = true
         target.opened(this, position)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.queue.AdaptiveLimit
+import dev.cardamomlane.engine.fleet.Standing
 import dev.cardamomlane.engine.log.DecisionLog
 import dev.cardamomlane.engine.session.SessionState
 import dev.cardamomlane.engine.statement.ErrorCode
@@ -52,7 +53,7 @@
         private set
 
     /** When it last answered anything. */
-    internal var heardAtMillis = Long.MIN_VALUE / 2
+    internal var heardAtMillis = Standing.NEVER
         private set
 
     /** True when its last connection attempt was refused outright. */
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -18,14 +18,11 @@
     private fun primaryIds() = fixture.hosts.map { it.group(DatabaseId("g"))?.primary?.entry?.id?.value }
 
     /** Every host uses the primary, so that each notices when it is gone. */
-    private fun useEverywhere() {
-        for (index in fixture.hosts.indices) {
-            val caller = FakeCaller()
-            fixture.open(caller, host = index).onStatement("w$index", write)
-        }
+    private fun useEverywhere(fixture: HostFixture = this.fixture) {
+        for (index in fixture.hosts.indices) fixture.open(FakeCaller(), host = index).onStatement("w$index", write)
     }
 
-    private fun lose(id: String) {
+    private fun lose(id: String, fixture: HostFixture = this.fixture) {
         val target = fixture.targets.target(id)
         target.isDown = true
         fixture.targets.links.filter { it.target === target }.forEach { it.cut() }
@@ -53,7 +50,7 @@
         val many = HostFixture(hostCount = 5)
         many.targets.cutPaths += "host-0/p"
         repeat(8) {
-            many.hosts.indices.forEach { many.open(FakeCaller(), host = it).onStatement("w$it", write) }
+            useEverywhere(many)
             many.timers.advance(500)
         }
 
@@ -71,15 +68,10 @@
     /** How long three hosts take to claim a takeover when the primary dies [phaseMillis] after some heartbeat. */
     private fun millisToClaim(phaseMillis: Int): Int {
         val fixture = HostFixture(hostCount = 3)
-        fun useEverywhere() = fixture.hosts.indices.forEach {
-            fixture.open(FakeCaller(), host = it).onStatement("w$it", write)
-        }
-        useEverywhere()
+        useEverywhere(fixture)
         fixture.timers.advance(1_000L + phaseMillis)
-        val primary = fixture.targets.target("p")
-        primary.isDown = true
-        fixture.targets.links.filter { it.target === primary }.forEach { it.cut() }
-        useEverywhere()
+        lose("p", fixture)
+        useEverywhere(fixture)
         var waitedMillis = 0
         while (fixture.store.written.isEmpty() && waitedMillis < 1_000) {
             fixture.timers.advance(STEP_MILLIS)
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/peer/PeerCodec.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/peer/PeerCodec.kt
@@ -1,10 +1,6 @@
-@file:OptIn(ExperimentalSerializationApi::class)
-
 package dev.cardamomlane.wire.peer
 
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
+import dev.cardamomlane.core.codec.CborMessages
 
 /**
  * Turns peer messages into bytes and back.
@@ -22,21 +18,11 @@
     /** The largest message before the other side is authenticated. */
     public const val MAX_HELLO_BYTES: Int = 1024
 
-    private val cbor = Cbor {
-        ignoreUnknownKeys = true
-        preferCborLabelsOverNames = true
-        useDefiniteLengthEncoding = true
-    }
+    private val messages = CborMessages(PeerMessage.serializer())
 
     /** Encodes [message] without its length. */
-    public fun encode(message: PeerMessage): ByteArray = cbor.encodeToByteArray(PeerMessage.serializer(), message)
+    public fun encode(message: PeerMessage): ByteArray = messages.encode(message)
 
     /** Decodes what [encode] made, or returns null when [bytes] are no message that this version knows. */
-    public fun decode(bytes: ByteArray): PeerMessage? = try {
-        cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
-    } catch (_: SerializationException) {
-        null
-    } catch (_: IllegalArgumentException) {
-        null
-    }
+    public fun decode(bytes: ByteArray): PeerMessage? = messages.decode(bytes)
 }
