--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
@@ -13,7 +13,8 @@
  * other hosts leave unused is thereby redistributed several times a second. A host that admits more than its part
  * because reports are missing finds a smaller remainder at its next grant.
  *
- * [BASE_FRACTION] of an allowance is divided equally among the hosts, the rest in proportion to their reported demand.
+ * A part of an allowance, `baseFraction`, is divided equally among the hosts, the rest in proportion to their reported
+ * demand.
  * A host counts its own demand as it last reported it, so that all hosts compute with the same numbers and the shares
  * add up to one. The part of a host whose report is overdue counts as used up. A host whose reports stopped may still
  * serve on the other side of a network partition, so each side uses only the equal parts of the hosts whose reports it
@@ -24,9 +25,14 @@
  *
  * Not safe for use by several threads.
  *
+ * @param baseFraction the fraction of an allowance that the hosts share equally now; smaller where each customer's
+ *   requests arrive at one host
  * @param startedAtMillis when the host started, from which on allowances refill
  */
-public class DemandShareLimiter(private val startedAtMillis: Long) {
+public class DemandShareLimiter(
+    private val startedAtMillis: Long,
+    private val baseFraction: () -> Double = { BASE_FRACTION },
+) {
     private val states = HashMap<CustomerId, CustomerState>()
     private val reportByHost = HashMap<HostId, HostReport>()
     private val admittedByHost = HashMap<HostId, AdmittedCounts>()
@@ -108,12 +114,14 @@
         val equalFraction = 1.0 / hostCount
         val silentCount = maxOf(0, hostCount - 1 - reportByHost.size)
         val aliveShare = equalFraction * (hostCount - silentCount)
-        if (allPerSecond <= 0) return Shares(equalFraction, aliveShare - equalFraction * overdueCount)
-        val restShare = (1 - BASE_FRACTION) * aliveShare
+        if (allPerSecond <= 0) return Shares(equalFraction, aliveShare - equalFraction * overdueCount, isSole = false)
+        val base = baseFraction()
+        val restShare = (1 - base) * aliveShare
         return Shares(
-            ownShare = BASE_FRACTION * equalFraction + restShare * state.reportedPerSecond / allPerSecond,
-            knownShare = aliveShare - BASE_FRACTION * equalFraction * overdueCount -
+            ownShare = base * equalFraction + restShare * state.reportedPerSecond / allPerSecond,
+            knownShare = aliveShare - base * equalFraction * overdueCount -
                 restShare * overduePerSecond / allPerSecond,
+            isSole = othersPerSecond <= 0.0 && overdueCount == 0,
         )
     }
 
@@ -124,8 +132,12 @@
         val countByCustomer = HashMap<CustomerId, Long>()
     }
 
-    /** Fractions of an allowance: of this host, and of all hosts whose admitted requests are known. */
-    private class Shares(val ownShare: Double, val knownShare: Double)
+    /**
+     * Fractions of an allowance: of this host, and of all hosts whose admitted requests are known.
+     *
+     * @property isSole true when no other host reports any demand, so that nothing must be kept back for others
+     */
+    private class Shares(val ownShare: Double, val knownShare: Double, val isSole: Boolean)
 
     /** One customer on this host: what remains of its allowance for all hosts, and what this host granted itself. */
     private class CustomerState(var allowance: Allowance, private var filledAtMillis: Long) {
@@ -133,6 +145,7 @@
         private var grantTokens = 0.0
         private var capacityTokens = 0.0
         private var ownShare = 0.0
+        private var isSole = false
         private var beyondGrantCount = 0
         var arrivals = 0
         var admittedCount = 0L
@@ -140,11 +153,15 @@
         var reportedPerSecond = 0.0
             private set
 
+        private val grantFraction: Double get() = if (isSole) 1.0 else GRANT_FRACTION
+
         fun refill(shares: Shares, nowMillis: Long) {
             val elapsedMillis = (nowMillis - filledAtMillis).coerceIn(0, MAX_FILL_MILLIS)
             filledAtMillis = nowMillis
             val newTokens = allowance.ratePerSecond * elapsedMillis / MILLIS_PER_SECOND
-            capacityTokens = maxOf(MIN_TOKENS, allowance.burst * CAPACITY_FRACTION * shares.knownShare)
+            isSole = shares.isSole
+            val capacityFraction = if (isSole) 1.0 else CAPACITY_FRACTION
+            capacityTokens = maxOf(MIN_TOKENS, allowance.burst * capacityFraction * shares.knownShare)
             ownShare = shares.ownShare
             remainingTokens = minOf(capacityTokens, remainingTokens + newTokens * shares.knownShare)
             val maxGrantTokens = maxOf(MIN_TOKENS, capacityTokens * ownShare)
@@ -169,7 +186,7 @@
         }
 
         fun waitMillis(hostCount: Int): Long {
-            if (allowsBeyondGrant(hostCount) || remainingTokens * ownShare * GRANT_FRACTION >= 1) return RENEWAL_MILLIS
+            if (allowsBeyondGrant(hostCount) || remainingTokens * ownShare * grantFraction >= 1) return RENEWAL_MILLIS
             val ratePerSecond = allowance.ratePerSecond * ownShare
             if (ratePerSecond <= 0) return NO_RATE_RETRY_MILLIS
             return ((1 - grantTokens) / ratePerSecond * MILLIS_PER_SECOND).toLong() + 1
@@ -188,7 +205,7 @@
 
         fun renewGrant() {
             beyondGrantCount = 0
-            grantTokens = maxOf(0.0, remainingTokens * ownShare * GRANT_FRACTION)
+            grantTokens = maxOf(0.0, remainingTokens * ownShare * grantFraction)
         }
     }
 
@@ -197,6 +214,9 @@
         /** The fraction of an allowance that all hosts share equally, whatever the demand. */
         public const val BASE_FRACTION: Double = 0.4
 
+        /** [BASE_FRACTION] where all requests of a customer arrive at one host, except while that host changes. */
+        public const val PLACED_BASE_FRACTION: Double = 0.05
+
         /** The longest time for which an allowance is refilled in one step. */
         public const val MAX_FILL_MILLIS: Long = 1_000
 
--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/DemandShareLimiterTest.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/DemandShareLimiterTest.kt
@@ -28,9 +28,10 @@
         private val hostCount: Int,
         seed: Int = 1,
         private val allowance: Allowance = this@DemandShareLimiterTest.allowance,
+        private val baseFraction: Double = DemandShareLimiter.BASE_FRACTION,
     ) {
         private val random = Random(seed)
-        private val shares = Array(hostCount) { DemandShareLimiter(startedAtMillis = 0) }
+        private val shares = Array(hostCount) { limiter(startedAtMillis = 0) }
         private val waiting = ArrayList<Waiting>()
         private val reportedAtMillis = LongArray(hostCount)
         private val incarnations = LongArray(hostCount)
@@ -52,12 +53,14 @@
         private var singleBucketTokens = allowance.burst
         private var singleBucketFilledAtMillis = 0L
 
+        private fun limiter(startedAtMillis: Long) = DemandShareLimiter(startedAtMillis) { baseFraction }
+
         fun kill(host: Int) {
             downHosts += host
         }
 
         fun restart(host: Int) {
-            shares[host] = DemandShareLimiter(startedAtMillis = nowMillis)
+            shares[host] = limiter(startedAtMillis = nowMillis)
             incarnations[host]++
             downHosts -= host
         }
@@ -313,6 +316,52 @@
         }
     }
 
+    @Test
+    fun `a customer whose requests all arrive at one host is refused little more than by a single bucket`() {
+        for (ratePerSecond in listOf(4.0, 8.0, 80.0)) {
+            val fleet = placedFleet(ratePerSecond)
+            fleet.run(2_000) { if (it == 0) ratePerSecond / 1.6 else 0.0 }
+            val requestsBefore = fleet.requestCount
+            val refusedBefore = fleet.refusedCount - fleet.refusedBySingleBucketCount
+
+            fleet.run(60_000) { if (it == 0) ratePerSecond / 1.6 else 0.0 }
+
+            val refused = fleet.refusedCount - fleet.refusedBySingleBucketCount - refusedBefore
+            val requests = fleet.requestCount - requestsBefore
+            assertTrue(refused <= requests / 200, "rate $ratePerSecond: $refused of $requests refused")
+        }
+    }
+
+    @Test
+    fun `a customer that moves between hosts with many times its rate stays within its rate`() {
+        for (ratePerSecond in listOf(8.0, 80.0)) {
+            val fleet = placedFleet(ratePerSecond)
+            repeat(6) { turn -> fleet.run(3_000) { if (it == turn) ratePerSecond * 5 else 0.0 } }
+
+            val bound = (ratePerSecond * 5 + ratePerSecond) * 1.1 + 20
+            assertTrue(fleet.maxInWindow() <= bound, "rate $ratePerSecond: ${fleet.maxInWindow()} in a window")
+        }
+    }
+
+    @Test
+    fun `a customer whose host is lost is served at another one within a second`() {
+        val fleet = placedFleet(ratePerSecond = 80.0)
+        fleet.run(5_000) { if (it == 0) 50.0 else 0.0 }
+        fleet.kill(0)
+        fleet.run(1_500) { if (it == 1) 50.0 else 0.0 }
+        val before = fleet.refusedCount
+
+        fleet.run(10_000) { if (it == 1) 50.0 else 0.0 }
+
+        assertTrue(fleet.refusedCount - before <= 5, "${fleet.refusedCount - before} refused")
+    }
+
+    private fun placedFleet(ratePerSecond: Double) = Fleet(
+        hostCount = 9,
+        allowance = Allowance(ratePerSecond, burst = ratePerSecond),
+        baseFraction = DemandShareLimiter.PLACED_BASE_FRACTION,
+    )
+
     private companion object {
         const val REPORT_MILLIS = 250L
         const val MIN_REPORT_INTERVAL_MILLIS = 60L
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
@@ -0,0 +1,75 @@
+package dev.cardamomlane.engine
+
+import dev.cardamomlane.core.CustomerId
+import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.limits.Admission
+import dev.cardamomlane.core.limits.CustomerUsage
+import dev.cardamomlane.core.limits.DemandShareLimiter
+import dev.cardamomlane.core.limits.RefusalReason
+import dev.cardamomlane.engine.config.Customer
+import dev.cardamomlane.engine.fleet.CustomerDemand
+import dev.cardamomlane.engine.fleet.Fleet
+import dev.cardamomlane.engine.fleet.GroupRecords
+import dev.cardamomlane.engine.fleet.Peer
+import dev.cardamomlane.engine.session.AdmissionGate
+
+/**
+ * Applies the customers' rates to the operations that this host runs, by its share of the demand on all members.
+ *
+ * Not safe for use by several threads.
+ */
+internal class CustomerLimits(
+    private val fleet: Fleet,
+    private val groupRecords: GroupRecords,
+    private val timers: TimerService,
+) : AdmissionGate {
+    private val shares = DemandShareLimiter(startedAtMillis = timers.nowMillis(), baseFraction = ::baseFraction)
+
+    /** With forwarding hosts, all operations of a customer arrive at one member. */
+    private fun baseFraction(): Double = if (fleet.hasForwarders(timers.nowMillis())) {
+        DemandShareLimiter.PLACED_BASE_FRACTION
+    } else {
+        DemandShareLimiter.BASE_FRACTION
+    }
+
+    override fun admit(customer: Customer, isRepeated: Boolean): Admission {
+        val nowMillis = timers.nowMillis()
+        if (!groupRecords.isCurrent(nowMillis)) {
+            return Admission.Refused(RefusalReason.NOT_IN_STANDING, NO_PROOF_RETRY_MILLIS)
+        }
+        val allowance = customer.allowance ?: return Admission.Admitted
+        val admission = if (isRepeated) {
+            shares.admitAgain(customer.id, allowance, fleet.size, nowMillis)
+        } else {
+            shares.admit(customer.id, allowance, fleet.size, nowMillis)
+        }
+        if (admission is Admission.Refused && !isRepeated) fleet.heartbeatSoon()
+        return admission
+    }
+
+    /** The demand of each customer at this host, as reported to all members now. */
+    fun demand(nowMillis: Long): List<CustomerDemand> {
+        shares.retainHosts(fleet.alivePeers(nowMillis).mapTo(HashSet()) { HostId(it.member.name) })
+        return shares.report(fleet.size, nowMillis).map { (customer, use) ->
+            CustomerDemand(customer.value, use.demandPerSecond.toFloat(), use.admittedCount)
+        }
+    }
+
+    /** Takes the demand that the newest heartbeat of [peer] reports. */
+    fun onReport(peer: Peer, demand: List<CustomerDemand>, nowMillis: Long) {
+        shares.onReport(
+            host = HostId(peer.member.name),
+            incarnation = peer.member.incarnation,
+            usages = demand.associate {
+                CustomerId(it.customer) to CustomerUsage(it.perSecond.toDouble(), it.admittedCount)
+            },
+            nowMillis = nowMillis,
+        )
+    }
+
+    private companion object {
+        /** When a caller may try again that was refused because this host's proof had expired. */
+        const val NO_PROOF_RETRY_MILLIS = 250L
+    }
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -1,17 +1,10 @@
 package dev.cardamomlane.engine
 
-import dev.cardamomlane.core.CustomerId
 import dev.cardamomlane.core.DatabaseId
-import dev.cardamomlane.core.HostId
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
-import dev.cardamomlane.core.limits.Admission
-import dev.cardamomlane.core.limits.CustomerUsage
-import dev.cardamomlane.core.limits.DemandShareLimiter
-import dev.cardamomlane.core.limits.RefusalReason
 import dev.cardamomlane.engine.config.Configuration
-import dev.cardamomlane.engine.config.Customer
 import dev.cardamomlane.engine.fleet.ControlStore
 import dev.cardamomlane.engine.fleet.CustomerDemand
 import dev.cardamomlane.engine.fleet.Fleet
@@ -24,6 +17,11 @@
 import dev.cardamomlane.engine.fleet.PeerNetwork
 import dev.cardamomlane.engine.fleet.PromotionCall
 import dev.cardamomlane.engine.fleet.Takeover
+import dev.cardamomlane.engine.forward.ForwardedOperations
+import dev.cardamomlane.engine.forward.Forwarder
+import dev.cardamomlane.engine.forward.HostDialer
+import dev.cardamomlane.engine.forward.HostLink
+import dev.cardamomlane.engine.forward.HostLinkListener
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.PositionSample
 import dev.cardamomlane.engine.log.DecisionLog
@@ -43,34 +41,47 @@
  */
 public class ProxyHost(
     private val self: Member,
-    private val zone: String,
+    zones: List<String>,
     override val timers: TimerService,
     private val dialer: TargetDialer,
     private val store: ControlStore,
     network: PeerNetwork,
+    hostDialer: HostDialer,
     private val promotion: PromotionCall,
     override val log: DecisionLog,
     private val meter: RequestMeter,
 ) : SessionServices,
     HeartbeatDelegate {
     private val groupRecords = GroupRecords()
-    private val fleet = Fleet(self, timers, store, network, groupRecords, log, this)
-    private val shares = DemandShareLimiter(startedAtMillis = timers.nowMillis())
+    private val fleet = Fleet(self, zones, timers, store, network, groupRecords, log, this)
+    private val forwarded = ForwardedOperations(this, timers) { fleet.isRegistered && !isClosing }
+    private val limits = CustomerLimits(fleet, groupRecords, timers)
+    private val cutOff = CutOffWatch(fleet, groupRecords, timers, log)
     private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
     private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
     private val sessions = LinkedHashSet<CallerSession>()
     private var entries: List<TargetEntry> = emptyList()
     private var memberNames: Set<String> = emptySet()
+    private var hasSeat = false
     private val waitingSessions = ArrayList<CallerSession>()
     private var stoppingSinceMillis: Long? = null
     private var isClosing = false
-    private var cutOffSinceMillis: Long? = null
-    private var configuredAtMillis = GroupRecords.NEVER
 
     override var configuration: Configuration = Configuration.NONE
         private set
 
-    override val gate: AdmissionGate = AdmissionGate(::admit)
+    override val forwarder: Forwarder = Forwarder(self, ::isReady, timers, fleet, hostDialer, log)
+
+    /**
+     * True for the few members that look out for a new configuration at short intervals. They tell the other members,
+     * and these tell the other hosts.
+     */
+    public fun watchesClosely(): Boolean = fleet.isRegistered && fleet.rank(timers.nowMillis()) < CLOSE_WATCHERS
+
+    /** Called once, when this host first serves operations itself, which takes the targets' list. */
+    public var onFirstSeat: () -> Unit = {}
+
+    override val gate: AdmissionGate get() = limits
 
     /** The age of this host's proof, as [GroupRecords] defines it. */
     public fun proofAgeMillis(): Long = timers.nowMillis() - groupRecords.provedAtMillis
@@ -88,14 +99,28 @@
         }
         fleet.onMembers { names ->
             memberNames = names
+            if (fleet.isRegistered && !hasSeat) {
+                hasSeat = true
+                onFirstSeat()
+            }
             updateGroups()
             openWaitingSessions()
         }
+        fleet.directory.onUsable = ::openWaitingSessions
+        fleet.directory.onConfigurationVersion = ::fetchIfNewer
+        forwarder.onNewerConfiguration = ::fetchIfNewer
     }
 
+    private fun fetchIfNewer(from: Member, version: Long) {
+        if (version > configuration.version) onNewerConfiguration(from, version)
+    }
+
+    /** Takes over a connection that another host opened, and returns the listener for its events. */
+    public fun onHostLink(link: HostLink): HostLinkListener = forwarded.onLink(link)
+
     /** Joins the fleet and starts the periodic work. To be called once. */
     public fun start() {
-        log.event("host", "started", "host", self.name, "zone", zone, "incarnation", self.incarnation)
+        log.event("host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation)
         fleet.refresh()
         timers.every(Fleet.HEARTBEAT_MILLIS) { onHeartbeat() }
         timers.every(TICK_INTERVAL_MILLIS) { onTick() }
@@ -111,7 +136,6 @@
         if (newer.version <= configuration.version) return
         val before = configuration
         configuration = newer
-        configuredAtMillis = timers.nowMillis()
         log.event(
             "configuration", "in_force", "version", newer.version, "before", before.version,
             "routes", newer.routes.size, "customers", newer.customersByKey.values.distinct().size,
@@ -153,8 +177,10 @@
         return session
     }
 
-    private fun canServe(): Boolean = configuration.version >= 0 && memberNames.isNotEmpty() &&
-        groups.values.any { it.targets.isNotEmpty() }
+    private fun canServe(): Boolean = configuration.version >= 0 && when {
+        fleet.isRegistered -> groups.values.any { it.targets.isNotEmpty() }
+        else -> fleet.directory.usable(timers.nowMillis()).isNotEmpty()
+    }
 
     private fun openWaitingSessions() {
         if (waitingSessions.isEmpty() || !canServe()) return
@@ -170,10 +196,17 @@
         session.onClosed()
     }
 
-    /** True when this host can serve: it knows configuration, groups and their primaries, and is not stopping. */
-    public fun isReady(): Boolean =
-        stoppingSinceMillis == null && configuration.version >= 0 && groups.isNotEmpty() && fleet.isRegistered &&
-            groupRecords.isCurrent(timers.nowMillis())
+    /**
+     * True when this host can serve callers and is not stopping. A member must know the groups and their primaries;
+     * another host must know a member that takes operations.
+     */
+    override val isReady: Boolean
+        get() {
+            val nowMillis = timers.nowMillis()
+            if (stoppingSinceMillis != null || configuration.version < 0) return false
+            if (!fleet.isRegistered) return fleet.directory.usable(nowMillis).isNotEmpty()
+            return groups.values.any { it.targets.isNotEmpty() } && groupRecords.isCurrent(nowMillis)
+        }
 
     /**
      * Begins a graceful stop. Callers are served as before for a while, until the load balancer sends them to other
@@ -186,12 +219,17 @@
         val nowMillis = timers.nowMillis()
         stoppingSinceMillis = nowMillis
         log.event("host", "stopping", "sessions", sessions.size)
+        fleet.heartbeat()
+        forwarded.leave()
         timers.after(minOf(STOP_ACCEPTING_DELAY_MILLIS, graceMillis / 3)) {
             isClosing = true
             stopAccepting()
             closeIdleSessions()
         }
-        timers.after(graceMillis / 2) { sessions.toList().forEach { it.abortTransaction("the host is stopping") } }
+        timers.after(graceMillis / 2) {
+            sessions.toList().forEach { it.abortTransaction("the host is stopping") }
+            forwarded.abortTransactions("the host is stopping")
+        }
         finishStop(nowMillis + graceMillis, done)
     }
 
@@ -200,7 +238,8 @@
     }
 
     private fun finishStop(endMillis: Long, done: () -> Unit) {
-        if ((isClosing && sessions.isEmpty()) || timers.nowMillis() >= endMillis) {
+        val isDone = isClosing && sessions.isEmpty() && forwarded.isIdle
+        if (isDone || timers.nowMillis() >= endMillis) {
             log.event("host", "stopped", "sessions", sessions.size)
             return done()
         }
@@ -209,43 +248,13 @@
 
     override val configurationVersion: Long get() = configuration.version
 
-    override fun groupStatuses(nowMillis: Long): List<GroupStatus> = groups.values.map { status(it, nowMillis) }
-
-    private fun status(group: DatabaseGroup, nowMillis: Long): GroupStatus {
-        val record = groupRecords.record(group.id)
-        val primary = group.primary
-        val sample = group.newestSample
-        val hasAnswered = primary != null && primary.lastAnswerAtMillis > GroupRecords.NEVER
-        return GroupStatus(
-            group = group.id.value,
-            version = record?.version ?: 0,
-            fence = record?.fence ?: 0,
-            primary = record?.primary?.value ?: primary?.entry?.id?.value ?: "",
-            isChanging = record?.isChanging ?: false,
-            isPlanned = record?.isPlanned ?: false,
-            holder = record?.holder ?: "",
-            recordTerm = record?.term ?: 0,
-            positionTerm = sample?.position?.term ?: 0,
-            positionOffset = sample?.position?.offset ?: 0,
-            positionAgeMillis = if (sample == null) -1 else nowMillis - sample.sentAtMillis,
-            primaryHeardMillis = if (hasAnswered) nowMillis - primary.lastAnswerAtMillis else -1,
-            unreachable = group.targets.filter { it.unreachableSinceMillis != null }.map { it.entry.id.value },
-            confirmedVersion = group.confirmedVersion,
-        )
-    }
+    override fun groupStatuses(nowMillis: Long): List<GroupStatus> =
+        groups.values.map { GroupStatus.of(it, groupRecords.record(it.id), nowMillis) }
 
     override fun onGroupStatuses(peer: Peer, statuses: List<GroupStatus>, nowMillis: Long) {
         val heartbeat = peer.lastHeartbeat ?: return
-        shares.onReport(
-            host = HostId(peer.member.name),
-            incarnation = peer.incarnation,
-            usages = heartbeat.demand.associate {
-                CustomerId(it.customer) to CustomerUsage(it.perSecond.toDouble(), it.admittedCount)
-            },
-            nowMillis = nowMillis,
-        )
-        val newer = heartbeat.configurationVersion
-        if (newer > configuration.version) onNewerConfiguration(peer.member, newer)
+        limits.onReport(peer, heartbeat.demand, nowMillis)
+        fetchIfNewer(peer.member, heartbeat.configurationVersion)
         if (peer.sentNotBeforeMillis <= GroupRecords.NEVER) return
         for (status in statuses) {
             val group = groups[DatabaseId(status.group)] ?: continue
@@ -258,39 +267,25 @@
 
     private fun onHeartbeat() {
         fleet.tick()
-        fleet.newestPeerConfiguration()?.let { (member, version) ->
-            if (version > configuration.version) onNewerConfiguration(member, version)
-        }
+        closeIdleSessionsWhenCutOff()
+        fleet.newestPeerConfiguration()?.let { (member, version) -> fetchIfNewer(member, version) }
+        forwarder.closeUnused()
     }
 
-    /**
-     * Closes idle sessions, a few at a time, while this host is cut off: its proof has expired, see [GroupRecords],
-     * and it counts fewer than a majority of the hosts, itself included, as alive. It can serve hardly anything then,
-     * and other hosts probably can.
-     */
+    /** Closes idle sessions, a few at a time, so that their callers connect to other hosts. */
     private fun closeIdleSessionsWhenCutOff() {
-        val nowMillis = timers.nowMillis()
-        val isCutOff = memberNames.isNotEmpty() && !groupRecords.isCurrent(nowMillis) &&
-            fleet.aliveCount(nowMillis) < fleet.majority
-        if (!isCutOff) {
-            cutOffSinceMillis = null
-            return
-        }
-        val since = cutOffSinceMillis ?: nowMillis.also {
-            cutOffSinceMillis = it
-            log.event("host", "cut_off", "heard", fleet.aliveCount(nowMillis), "members", fleet.size)
-        }
-        if (nowMillis - since < CUT_OFF_GRACE_MILLIS) return
+        if (!cutOff.isCutOff()) return
         for (session in sessions.filter { it.isIdle }.take(CUT_OFF_CLOSE_COUNT)) session.closeWhenIdle()
     }
 
     private fun onTick() {
-        closeIdleSessionsWhenCutOff()
+        if (!hasSeat) return
         for (group in groups.values) group.tick()
         for (takeover in takeovers.values) takeover.tick()
     }
 
     private fun updateGroups() {
+        if (!hasSeat) return
         val byGroup = entries.groupBy { it.group }
         val known = byGroup.keys + configuration.groups.keys + groups.keys
         for (id in known) {
@@ -307,7 +302,7 @@
     }
 
     private fun newGroup(id: DatabaseId): DatabaseGroup {
-        val group = DatabaseGroup(id, zone, timers, dialer, groupRecords, log)
+        val group = DatabaseGroup(id, self.zone, timers, dialer, groupRecords, log)
         group.onConfirmed = fleet::heartbeat
         group.onPrimaryUnreachable = fleet::heartbeatSoon
         takeovers[id] = Takeover(
@@ -325,37 +320,17 @@
         return group
     }
 
-    private fun admit(customer: Customer, isRepeated: Boolean): Admission {
-        val nowMillis = timers.nowMillis()
-        if (!groupRecords.isCurrent(nowMillis)) {
-            return Admission.Refused(RefusalReason.NOT_IN_STANDING, NO_PROOF_RETRY_MILLIS)
-        }
-        val allowance = customer.allowance ?: return Admission.Admitted
-        val admission = if (isRepeated) {
-            shares.admitAgain(customer.id, allowance, fleet.size, nowMillis)
-        } else {
-            shares.admit(customer.id, allowance, fleet.size, nowMillis)
-        }
-        if (admission is Admission.Refused && !isRepeated) fleet.heartbeatSoon()
-        return admission
-    }
-
-    override fun demand(nowMillis: Long): List<CustomerDemand> {
-        shares.retainHosts(fleet.alivePeers(nowMillis).mapTo(HashSet()) { HostId(it.member.name) })
-        return shares.report(fleet.size, nowMillis).map { (customer, use) ->
-            CustomerDemand(customer.value, use.demandPerSecond.toFloat(), use.admittedCount)
-        }
-    }
+    override fun demand(nowMillis: Long): List<CustomerDemand> = limits.demand(nowMillis)
 
     public companion object {
         /** How long a session waits for this host to know configuration, fleet members and targets. */
         private const val MAX_OPEN_WAIT_MILLIS = 1_200L
 
-        /** How long this host must be cut off before it closes sessions. */
-        private const val CUT_OFF_GRACE_MILLIS = 400L
+        /** The most sessions that are closed at each heartbeat while this host is cut off. */
+        private const val CUT_OFF_CLOSE_COUNT = 48
 
-        /** The most sessions that are closed in one tick while this host is cut off. */
-        private const val CUT_OFF_CLOSE_COUNT = 8
+        /** How many members look out for a new configuration at short intervals. */
+        private const val CLOSE_WATCHERS = 3
 
         private const val TICK_INTERVAL_MILLIS = 40L
         private const val STOP_POLL_INTERVAL_MILLIS = 50L
@@ -368,8 +343,5 @@
 
         /** Connections to each target that the hosts leave unused together. */
         private const val SPARE_CONNECTIONS = 2
-
-        /** When a caller may try again that was refused because this host's proof had expired. */
-        private const val NO_PROOF_RETRY_MILLIS = 250L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ControlStore.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ControlStore.kt
@@ -16,9 +16,9 @@
     /** Replaces a group's record if its version is still [expectedVersion]; 0 means that there is none. */
     public fun writeRecord(record: GroupRecord, expectedVersion: Long): Mono<StoreWrite>
 
-    /** Writes the row of [member], this host, whatever version is stored. */
-    public fun writeMember(member: Member): Mono<StoreWrite>
+    /** Gives [seat] to [member], this host, if the seat's row still has [expectedVersion]; 0 means that it is vacant. */
+    public fun writeMember(seat: Int, member: Member, expectedVersion: Long): Mono<StoreWrite>
 
-    /** Removes the row of the host [name] if its version is still [expectedVersion]. */
-    public fun removeMember(name: String, expectedVersion: Long): Mono<StoreWrite>
+    /** Vacates [seat] if its row still has [expectedVersion]. */
+    public fun removeMember(seat: Int, expectedVersion: Long): Mono<StoreWrite>
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -13,10 +13,16 @@
  * the store, the heartbeats of a majority of the members are proof as well, since they carry the records that these
  * know.
  *
+ * Only members exchange heartbeats. [SeatPolicy] bounds their number; a host without a seat has no proof and follows the
+ * members through its [directory].
+ *
  * Not safe for use by several threads.
+ *
+ * @param zones every availability zone, in the same order on all hosts
  */
 public class Fleet(
     private val self: Member,
+    zones: List<String>,
     private val timers: TimerService,
     private val store: ControlStore,
     private val network: PeerNetwork,
@@ -24,13 +30,29 @@
     private val log: DecisionLog,
     private val delegate: HeartbeatDelegate,
 ) {
-    private var rows: Map<String, MemberRow> = emptyMap()
+    private val random = Random(self.name.hashCode() + self.incarnation)
+    private val seats = SeatPolicy(self, zones, SeatPolicy.SEAT_COUNT, random)
+    private var rows: List<MemberRow> = emptyList()
     private val peersByName = sortedMapOf<String, Peer>()
-    private val storeReader = StoreReader(timers, store, log, Random(self.name.hashCode() + self.incarnation), ::onRows)
+    private val storeReader = StoreReader(timers, store, log, random, ::onRows)
+    private var queriedAtMillis = GroupRecords.NEVER
+    private var tickedAtMillis = GroupRecords.NEVER
+    private var isSeatReadScheduled = false
+    private var wasRegistered = false
+
+    /** The members as a host without a seat knows them. */
+    public val directory: MemberDirectory = MemberDirectory(self, timers, network, log, random)
+
+    /** True once members were read from the store. */
+    internal var hasReadMembers: Boolean = false
+        private set
+
+    /** When the read was sent that brought the newest rows. */
+    internal var rowsSentAtMillis: Long = GroupRecords.NEVER
+        private set
+
     private val membersListeners = ArrayList<(Set<String>) -> Unit>()
-    private var hasNotifiedMembers = false
     private var isRegistering = false
-    private var registeredAtMillis = GroupRecords.NEVER
     private var membersHash = 0
     private var heartbeatAtMillis = GroupRecords.NEVER
     private var isEarlyHeartbeatScheduled = false
@@ -41,7 +63,10 @@
     public val peers: Collection<Peer> get() = peersByName.values
 
     /** True once the store's rows have been read and include this host. */
-    public val isRegistered: Boolean get() = rows[self.name]?.member == self
+    public val isRegistered: Boolean get() = rows.any { it.member == self }
+
+    /** True when a host without a seat has recently queried this one, so that the fleet is larger than its members. */
+    public fun hasForwarders(nowMillis: Long): Boolean = nowMillis - queriedAtMillis < FORWARDERS_MILLIS
 
     /** The number of members, this host included. */
     public val size: Int get() = peersByName.size + 1
@@ -68,35 +93,46 @@
     }
 
     /**
-     * Sends heartbeats, renews proof, registers this host if the store does not list it, and removes dead members.
-     * Called every [HEARTBEAT_MILLIS].
+     * As a member, sends heartbeats, renews proof and removes dead members. Otherwise queries the members, and takes a
+     * seat that is vacant. Called every [HEARTBEAT_MILLIS].
      */
     public fun tick() {
-        heartbeat()
         val nowMillis = timers.nowMillis()
+        if (!isRegistered) return tickWithoutSeat(nowMillis)
+        heartbeat()
         renewProofFromMajority(nowMillis)
         storeReader.refresh(groupRecords.provedAtMillis)
-        if (!isRegistered && nowMillis - registeredAtMillis > REGISTER_RETRY_MILLIS) register(nowMillis)
         removeDeadMembers(nowMillis)
     }
 
+    private fun tickWithoutSeat(nowMillis: Long) {
+        if (nowMillis - tickedAtMillis >= MemberDirectory.QUERY_INTERVAL_MILLIS) {
+            tickedAtMillis = nowMillis
+            directory.tick()
+        }
+        val isSilent = nowMillis - directory.answeredAtMillis > SILENT_READ_MILLIS
+        if (isSilent || directory.size < SeatPolicy.SEAT_COUNT) storeReader.refresh(rowsSentAtMillis)
+    }
+
     /** Sends a heartbeat to every peer now. */
     public fun heartbeat() {
         val nowMillis = timers.nowMillis()
         val groups = delegate.groupStatuses(nowMillis)
         val demand = delegate.demand(nowMillis)
-        val heardMembers = aliveMask(nowMillis)
+        if (!isRegistered) return
+        val heardMembers = heardMembers(nowMillis)
         heartbeatAtMillis = nowMillis
         for (peer in peersByName.values) {
             val answered = peer.lastHeartbeat
             val message = Heartbeat(
                 sentAtMillis = nowMillis,
                 answeredSentAtMillis = answered?.sentAtMillis ?: -1,
-                answeredIncarnation = peer.incarnation,
+                answeredIncarnation = peer.member.incarnation,
                 answeredHeldMillis = if (answered == null) 0 else nowMillis - peer.receivedAtMillis,
                 proofAgeMillis = if (groupRecords.isCurrent(nowMillis)) nowMillis - groupRecords.provedAtMillis else -1,
                 membersHash = membersHash,
                 configurationVersion = delegate.configurationVersion,
+                isReady = delegate.isReady,
                 heardMembers = heardMembers,
                 groups = groups,
                 demand = demand,
@@ -107,7 +143,7 @@
 
     /** Sends heartbeats ahead of schedule, but at least [MIN_HEARTBEAT_GAP_MILLIS] after the last ones. */
     public fun heartbeatSoon() {
-        if (isEarlyHeartbeatScheduled) return
+        if (isEarlyHeartbeatScheduled || !isRegistered) return
         val waitMillis = heartbeatAtMillis + MIN_HEARTBEAT_GAP_MILLIS - timers.nowMillis()
         if (waitMillis <= 0) return heartbeat()
         isEarlyHeartbeatScheduled = true
@@ -121,19 +157,42 @@
     public fun alivePeers(nowMillis: Long): List<Peer> =
         peersByName.values.filter { it.isAlive(nowMillis, ALIVE_MILLIS) }
 
-    /** Handles a datagram of another host. One of a host that is no known member causes a read of the store. */
+    /** The other alive members that take new operations. */
+    public fun readyPeers(nowMillis: Long): List<Member> =
+        alivePeers(nowMillis).filter { it.lastHeartbeat?.isReady == true }.map { it.member }
+
+    /** Handles a datagram of another host. A heartbeat of a host that is no known member causes a read of the store. */
     public fun onMessage(message: PeerMessage) {
         if (message.from == self.name) return
-        val peer = peersByName[message.from]
-        if (peer == null) {
+        message.query?.let(::answer)
+        message.list?.let { directory.onList(message.from, it) }
+        message.heartbeat?.let { onHeartbeat(message.from, message.incarnation, it) }
+    }
+
+    private fun answer(query: MemberQuery) {
+        if (!isRegistered) return
+        queriedAtMillis = timers.nowMillis()
+        network.send(query.replyAddress, PeerMessage(self.name, self.incarnation, list = memberList(queriedAtMillis)))
+    }
+
+    private fun memberList(nowMillis: Long): MemberList {
+        val others = peersByName.values.map { peer ->
+            val isAlive = peer.isAlive(nowMillis, ALIVE_MILLIS)
+            ListedMember(peer.member, isReady = isAlive && peer.lastHeartbeat?.isReady == true)
+        }
+        return MemberList(others + ListedMember(self, delegate.isReady), delegate.configurationVersion)
+    }
+
+    private fun onHeartbeat(from: String, incarnation: Long, heartbeat: Heartbeat) {
+        val peer = peersByName[from]
+        if (peer == null || peer.member.incarnation != incarnation) {
             storeReader.read()
             return
         }
-        val heartbeat = message.heartbeat
         val nowMillis = timers.nowMillis()
-        if (!peer.receive(message.incarnation, heartbeat, self.incarnation, nowMillis)) return
+        if (!peer.receive(heartbeat, self.incarnation, nowMillis)) return
         val records = heartbeat.groups.mapNotNull { it.record() }
-        val hasProof = heartbeat.proofAgeMillis >= 0 && peer.sentNotBeforeMillis > GroupRecords.NEVER
+        val hasProof = isRegistered && heartbeat.proofAgeMillis >= 0 && peer.sentNotBeforeMillis > GroupRecords.NEVER
         groupRecords.learn(
             records,
             if (hasProof) peer.sentNotBeforeMillis - heartbeat.proofAgeMillis else GroupRecords.NEVER,
@@ -148,7 +207,7 @@
     /** True when the incarnation of a host that [holder] names, as `host#incarnation`, is not alive. */
     public fun isHolderGone(holder: String, nowMillis: Long): Boolean {
         val peer = peersByName[holder.substringBeforeLast('#')] ?: return true
-        return !peer.isAlive(nowMillis, ALIVE_MILLIS) || "${peer.member.name}#${peer.incarnation}" != holder
+        return !peer.isAlive(nowMillis, ALIVE_MILLIS) || "${peer.member.name}#${peer.member.incarnation}" != holder
     }
 
     /**
@@ -175,63 +234,81 @@
         if (nowMillis - sinceMillis < GroupRecords.MAX_AGE_MILLIS) groupRecords.learn(emptyList(), sinceMillis)
     }
 
+    /** Rows count as proof only for a member: a takeover does not wait for other hosts. */
     private fun onRows(rows: ControlRows, sentAtMillis: Long) {
-        groupRecords.learn(rows.records, sentAtMillis)
-        this.rows = rows.members.associateBy { it.member.name }
-        val members = rows.members.map { it.member }.filter { it.name != self.name }
+        this.rows = rows.members
+        rowsSentAtMillis = sentAtMillis
+        groupRecords.learn(rows.records, if (isRegistered) sentAtMillis else GroupRecords.NEVER)
+        val members = rows.members.map { it.member }.filter { it.name != self.name }.distinctBy { it.name }
+        updatePeers(members)
+        if (!isRegistered) directory.onRows(members)
+        takeSeat()
+        removeSurplusRows()
+    }
+
+    private fun updatePeers(members: List<Member>) {
         val names = members.mapTo(HashSet()) { it.name }
-        val before = if (hasNotifiedMembers) peersByName.keys.toSet() else null
+        val before = if (hasReadMembers) peersByName.keys.toSet() else null
         peersByName.keys.retainAll(names)
         for (member in members) {
             if (peersByName[member.name]?.member != member) peersByName[member.name] = Peer(member)
         }
-        if (!isRegistered) register(timers.nowMillis())
-        membersHash = (names + self.name).sorted().hashCode()
-        if (peersByName.keys != before) {
-            log.event(
-                "fleet",
-                "members_changed",
-                "count",
-                size,
-                "members",
-                (names + self.name).sorted().joinToString(" "),
-            )
-            membersListeners.forEach { it(names + self.name) }
-            hasNotifiedMembers = true
-            heartbeat()
-        }
+        val all = (if (isRegistered) names + self.name else names).sorted()
+        membersHash = all.hashCode()
+        if (peersByName.keys == before && wasRegistered == isRegistered) return
+        wasRegistered = isRegistered
+        hasReadMembers = true
+        log.event("fleet", "members_changed", "count", all.size, "members", all.joinToString(" "))
+        membersListeners.forEach { it(all.toSet()) }
+        heartbeat()
     }
 
-    private fun register(nowMillis: Long) {
+    private fun takeSeat() {
         if (isRegistering) return
+        val nowMillis = timers.nowMillis()
+        val claim = seats.claim(rows, directory.isStranded(nowMillis), nowMillis) ?: return readAgainForSeat(nowMillis)
         isRegistering = true
-        registeredAtMillis = nowMillis
-        store.writeMember(self).doFinally { isRegistering = false }.subscribe(
+        store.writeMember(claim.seat, self, claim.expectedVersion).doFinally { isRegistering = false }.subscribe(
             { outcome ->
-                log.event("fleet", "registration", "outcome", outcome)
+                log.event("fleet", "registration", "seat", claim.seat, "outcome", outcome)
                 storeReader.read()
             },
             { failure -> log.event("fleet", "registration_failed", "reason", failure.message) },
         )
     }
 
+    private fun readAgainForSeat(nowMillis: Long) {
+        val delayMillis = seats.dueInMillis(nowMillis) ?: return
+        if (isSeatReadScheduled) return
+        isSeatReadScheduled = true
+        timers.after(delayMillis) {
+            isSeatReadScheduled = false
+            storeReader.read()
+        }
+    }
+
+    private fun removeSurplusRows() {
+        for (row in seats.surplus(rows)) {
+            log.event("fleet", "surplus_seat_vacated", "seat", row.seat)
+            store.removeMember(row.seat, row.version).subscribe({}, { failure ->
+                log.event("fleet", "surplus_seat_kept", "seat", row.seat, "reason", failure.message)
+            })
+        }
+    }
+
     private fun removeDeadMembers(nowMillis: Long) {
         if (!groupRecords.isCurrent(nowMillis) || rank(nowMillis) != 0 || aliveCount(nowMillis) < majority) return
-        val names = memberNames()
         for (peer in peersByName.values) {
             if (peer.isAlive(nowMillis, DEAD_MILLIS) || isNewlyListed(peer, nowMillis)) continue
-            val bit = names.indexOf(peer.member.name)
-            val isAliveElsewhere = alivePeers(nowMillis).any { hasBit(it.lastHeartbeat?.heardMembers ?: 0, bit) }
-            val row = rows[peer.member.name]
-            if (isAliveElsewhere || row == null ||
-                nowMillis - (removalTriedAtMillis[row.member.name] ?: GroupRecords.NEVER) < DEAD_MILLIS
-            ) {
-                continue
-            }
-            removalTriedAtMillis[row.member.name] = nowMillis
-            log.event("fleet", "member_dropped", "member", row.member.name)
-            store.removeMember(row.member.name, row.version).subscribe({ storeReader.read() }, {
-                log.event("fleet", "member_drop_failed", "member", row.member.name, "reason", it.message)
+            val name = peer.member.name
+            val isAliveElsewhere = alivePeers(nowMillis).any { name in (it.lastHeartbeat?.heardMembers ?: emptyList()) }
+            val row = rows.firstOrNull { it.member.name == name }
+            val isTried = nowMillis - (removalTriedAtMillis[name] ?: GroupRecords.NEVER) < DEAD_MILLIS
+            if (isAliveElsewhere || row == null || isTried) continue
+            removalTriedAtMillis[name] = nowMillis
+            log.event("fleet", "member_dropped", "member", name, "seat", row.seat)
+            store.removeMember(row.seat, row.version).subscribe({ storeReader.read() }, { failure ->
+                log.event("fleet", "member_kept", "member", name, "reason", failure.message)
             })
         }
     }
@@ -239,17 +316,8 @@
     private fun isNewlyListed(peer: Peer, nowMillis: Long): Boolean =
         nowMillis - firstSeenAtMillis.getOrPut(peer.member) { nowMillis } < DEAD_MILLIS
 
-    private fun memberNames(): List<String> = (peersByName.keys + self.name).sorted()
-
-    private fun aliveMask(nowMillis: Long): Long {
-        var mask = 0L
-        memberNames().take(Long.SIZE_BITS).forEachIndexed { bit, name ->
-            if (peersByName[name]?.isAlive(nowMillis, REPORTED_ALIVE_MILLIS) == true) mask = mask or (1L shl bit)
-        }
-        return mask
-    }
-
-    private fun hasBit(mask: Long, bit: Int): Boolean = bit in 0 until Long.SIZE_BITS && mask and (1L shl bit) != 0L
+    private fun heardMembers(nowMillis: Long): List<String> =
+        peersByName.values.filter { it.isAlive(nowMillis, REPORTED_ALIVE_MILLIS) }.map { it.member.name }
 
     public companion object {
         /** The interval of heartbeats. */
@@ -274,7 +342,10 @@
          */
         private const val DEAD_MILLIS = 10_000L
 
-        /** The interval at which this host registers until the store lists it. */
-        private const val REGISTER_RETRY_MILLIS = 1_500L
+        /** How long after the last query of a host without a seat such hosts are taken to exist. */
+        private const val FORWARDERS_MILLIS = 5_000L
+
+        /** A host without a seat reads the store when no member has answered for this time. */
+        private const val SILENT_READ_MILLIS = 1_000L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupStatus.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupStatus.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.GroupRecord
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
@@ -43,4 +44,29 @@
     } else {
         GroupRecord(DatabaseId(group), version, fence, TargetId(primary), isChanging, isPlanned, holder, recordTerm)
     }
+
+    public companion object {
+        /** What this host reports of [group] now, of which it knows [record]. */
+        internal fun of(group: DatabaseGroup, record: GroupRecord?, nowMillis: Long): GroupStatus {
+            val primary = group.primary
+            val sample = group.newestSample
+            val hasAnswered = primary != null && primary.lastAnswerAtMillis > GroupRecords.NEVER
+            return GroupStatus(
+                group = group.id.value,
+                version = record?.version ?: 0,
+                fence = record?.fence ?: 0,
+                primary = record?.primary?.value ?: primary?.entry?.id?.value ?: "",
+                isChanging = record?.isChanging ?: false,
+                isPlanned = record?.isPlanned ?: false,
+                holder = record?.holder ?: "",
+                recordTerm = record?.term ?: 0,
+                positionTerm = sample?.position?.term ?: 0,
+                positionOffset = sample?.position?.offset ?: 0,
+                positionAgeMillis = if (sample == null) -1 else nowMillis - sample.sentAtMillis,
+                primaryHeardMillis = if (hasAnswered) nowMillis - primary.lastAnswerAtMillis else -1,
+                unreachable = group.targets.filter { it.unreachableSinceMillis != null }.map { it.entry.id.value },
+                confirmedVersion = group.confirmedVersion,
+            )
+        }
+    }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Heartbeat.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Heartbeat.kt
@@ -17,7 +17,8 @@
  * @property proofAgeMillis age of the sender's proof, as [GroupRecords] defines it, or -1 when it is too old
  * @property membersHash equal on hosts that know the same members
  * @property configurationVersion the newest configuration that the sender knows
- * @property heardMembers the members that recently sent the sender a heartbeat, a bit each in the order of names
+ * @property isReady true while the sender takes new operations
+ * @property heardMembers the members that recently sent the sender a heartbeat
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -30,7 +31,8 @@
     val proofAgeMillis: Long,
     val membersHash: Int,
     val configurationVersion: Long,
-    val heardMembers: Long,
+    val isReady: Boolean,
+    val heardMembers: List<String>,
     val groups: List<GroupStatus>,
     val demand: List<CustomerDemand>,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/HeartbeatDelegate.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/HeartbeatDelegate.kt
@@ -5,6 +5,9 @@
     /** The newest configuration known here. */
     public val configurationVersion: Long
 
+    /** True while this host takes new operations. */
+    public val isReady: Boolean
+
     /** What this host says of its groups now. */
     public fun groupStatuses(nowMillis: Long): List<GroupStatus>
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberRow.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberRow.kt
@@ -1,4 +1,4 @@
 package dev.cardamomlane.engine.fleet
 
-/** A member and the version of its row in the store. */
-public data class MemberRow(val member: Member, val version: Long)
+/** The member that holds [seat], and the version of the seat's row in the store. */
+public data class MemberRow(val seat: Int, val member: Member, val version: Long)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
@@ -21,16 +21,13 @@
     public var sentNotBeforeMillis: Long = GroupRecords.NEVER
         private set
 
-    /** The incarnation of the peer that sent [lastHeartbeat]. */
-    public var incarnation: Long = 0
-        private set
-
-    /** Records a heartbeat. Returns false, and ignores it, if it is no newer than the last of the same incarnation. */
-    internal fun receive(fromIncarnation: Long, heartbeat: Heartbeat, ownIncarnation: Long, nowMillis: Long): Boolean {
+    /**
+     * Records a heartbeat of the incarnation that [member] names. Returns false, and ignores it, if it is no newer than
+     * the last one.
+     */
+    internal fun receive(heartbeat: Heartbeat, ownIncarnation: Long, nowMillis: Long): Boolean {
         val previous = lastHeartbeat
-        val isSameIncarnation = fromIncarnation == incarnation
-        if (isSameIncarnation && previous != null && heartbeat.sentAtMillis <= previous.sentAtMillis) return false
-        incarnation = fromIncarnation
+        if (previous != null && heartbeat.sentAtMillis <= previous.sentAtMillis) return false
         lastHeartbeat = heartbeat
         receivedAtMillis = nowMillis
         if (heartbeat.answeredSentAtMillis >= 0 && heartbeat.answeredIncarnation == ownIncarnation) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -2,10 +2,15 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.cbor.CborArray
+import kotlinx.serialization.cbor.CborLabel
 
-/** A datagram from the [incarnation] of the host [from]. */
+/** A datagram from the [incarnation] of the host [from]. Exactly one of the other properties is set. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
-@CborArray
-public data class PeerMessage(val from: String, val incarnation: Long, val heartbeat: Heartbeat)
+public data class PeerMessage(
+    @CborLabel(1) val from: String,
+    @CborLabel(2) val incarnation: Long,
+    @CborLabel(3) val heartbeat: Heartbeat? = null,
+    @CborLabel(4) val query: MemberQuery? = null,
+    @CborLabel(5) val list: MemberList? = null,
+)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreReader.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreReader.kt
@@ -19,6 +19,7 @@
 ) {
     private var isReading = false
     private var isReadRequested = false
+    private var isReadScheduled = false
     private var readAtMillis = GroupRecords.NEVER
     private var pauseMillis = MIN_PAUSE_MILLIS
     private var isUnavailable = false
@@ -32,19 +33,31 @@
         if (isReadRequested || ageMillis > REFRESH_MILLIS + random.nextLong(REFRESH_SPREAD_MILLIS)) read()
     }
 
-    /** Reads now, or at a later [refresh] if a read is under way or the last one was too recent. */
+    /** Reads now, or as soon as the read under way has ended and the pause since its start has passed. */
     fun read() {
         isReadRequested = true
+        if (isReading) return
         val nowMillis = timers.nowMillis()
-        if (isReading || nowMillis - readAtMillis < pauseMillis) return
-        startRead(nowMillis)
+        val leftMillis = readAtMillis + pauseMillis - nowMillis
+        if (leftMillis <= 0) return startRead(nowMillis)
+        if (isReadScheduled) return
+        isReadScheduled = true
+        timers.after(leftMillis) {
+            isReadScheduled = false
+            if (isReadRequested) read()
+        }
     }
 
     private fun startRead(nowMillis: Long) {
         isReading = true
         isReadRequested = false
         readAtMillis = nowMillis
-        store.read().doFinally { isReading = false }.subscribe({ onResult(it, nowMillis) }, ::onFailure)
+        store.read().doFinally { onReadEnded() }.subscribe({ onResult(it, nowMillis) }, ::onFailure)
+    }
+
+    private fun onReadEnded() {
+        isReading = false
+        if (isReadRequested) read()
     }
 
     private fun onResult(rows: ControlRows, sentAtMillis: Long) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -140,7 +140,9 @@
     }
 
     private fun awaitDrain(now: Phase.Draining, nowMillis: Long) {
-        val isConfirmed = group.hasConfirmed(now.record.version) && fleet.peers.all { peer ->
+        val isMemberListNew = fleet.rowsSentAtMillis >= now.claimedAtMillis
+        if (!isMemberListNew) fleet.refresh()
+        val isConfirmed = isMemberListNew && group.hasConfirmed(now.record.version) && fleet.peers.all { peer ->
             (peer.groupStatus(group.id.value)?.confirmedVersion ?: 0) >= now.record.version
         }
         if (!isConfirmed && !hasOldProofExpired(now, nowMillis)) return
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedSessions.kt
@@ -0,0 +1,19 @@
+package dev.cardamomlane.engine.forward
+
+import dev.cardamomlane.engine.session.CallerLink
+import dev.cardamomlane.engine.session.CallerSession
+
+/** Opens the sessions in which a member runs the operations that other hosts forward to it. */
+internal interface ForwardedSessions {
+    /** The newest configuration that this host knows. */
+    val configurationVersion: Long
+
+    /** Opens a session that serves one operation, or returns null when this host takes no operations now. */
+    fun open(link: CallerLink, database: String, key: String?): CallerSession?
+
+    /** Ends a session that [open] returned. */
+    fun close(session: CallerSession)
+
+    /** The connection behind [operations] has ended. */
+    fun onLinkClosed(operations: IncomingOperations)
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
@@ -0,0 +1,140 @@
+package dev.cardamomlane.engine.forward
+
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.engine.fleet.GroupRecords
+import dev.cardamomlane.engine.fleet.Member
+import dev.cardamomlane.engine.log.DecisionLog
+
+/**
+ * This host's connection to one member, over which it forwards operations.
+ *
+ * While an answer is outstanding and nothing arrives, the member is first left out of new operations and pinged, and
+ * then the connection is closed, so that a connection that went silent does not hold operations for long.
+ *
+ * Not safe for use by several threads.
+ */
+internal class HostConnection(
+    val member: Member,
+    private val timers: TimerService,
+    private val log: DecisionLog,
+    dialer: HostDialer,
+    private val events: HostConnectionEvents,
+) : HostLinkListener {
+    private val operations = LinkedHashMap<Long, Waiting>()
+    private val dialedAtMillis = timers.nowMillis()
+    private var nextOperation = 1L
+    private var isOpen = false
+    private var isClosed = false
+    private var receivedAtMillis = GroupRecords.NEVER
+    private var pingedAtMillis: Long? = null
+    private var watch: TimerSubscription? = null
+    private val link = dialer.dial(member.address, this)
+
+    /** When the last operation was started. */
+    var usedAtMillis = dialedAtMillis
+        private set
+
+    /** True while no operation is under way. */
+    val isIdle: Boolean get() = operations.isEmpty()
+
+    /** Starts an operation, whose steps [listener] gets answers to, and returns the number that identifies it. */
+    fun start(listener: OperationListener): Long {
+        usedAtMillis = timers.nowMillis()
+        val operation = nextOperation++
+        operations[operation] = Waiting(listener)
+        return operation
+    }
+
+    /** Sends a step of an operation. When the connection has ended, the operation's listener is told so at once. */
+    fun send(request: OperationRequest) {
+        val waiting = operations[request.operation] ?: return
+        if (isClosed) return end(request.operation, waiting)
+        waiting.sentAtMillis = timers.nowMillis()
+        link.send(HostMessage(request = request))
+        if (watch == null) watch = timers.after(WATCH_INTERVAL_MILLIS) { watch() }
+    }
+
+    /** Ends an operation; an answer that still arrives is dropped. [lastRequest] is sent without waiting for it. */
+    fun finish(operation: Long, lastRequest: OperationRequest? = null) {
+        operations.remove(operation)
+        if (lastRequest != null && !isClosed) link.send(HostMessage(request = lastRequest))
+    }
+
+    override fun onOpened() {
+        isOpen = true
+        receivedAtMillis = timers.nowMillis()
+    }
+
+    override fun onMessage(message: HostMessage) {
+        receivedAtMillis = timers.nowMillis()
+        pingedAtMillis = null
+        if (message.isLeaving) events.onLeaving(this)
+        val answer = message.answer ?: return
+        val waiting = operations[answer.operation] ?: return
+        waiting.sentAtMillis = null
+        waiting.listener.onAnswer(answer)
+    }
+
+    override fun onClosed() {
+        if (isClosed) return
+        isClosed = true
+        watch?.cancel()
+        events.onEnded(this)
+        if (!isIdle) log.event("forward", "connection_lost", "to", member.name, "operations", operations.size)
+        for ((operation, waiting) in operations.toList()) end(operation, waiting)
+    }
+
+    /** Closes the connection; operations under way end without an answer. */
+    fun close() {
+        if (isClosed) return
+        link.close()
+        onClosed()
+    }
+
+    private fun end(operation: Long, waiting: Waiting) {
+        operations.remove(operation)
+        waiting.listener.onLost(mayHaveArrived = isOpen)
+    }
+
+    private fun watch() {
+        watch = null
+        val oldestMillis = operations.values.mapNotNull { it.sentAtMillis }.minOrNull() ?: return
+        val nowMillis = timers.nowMillis()
+        val silentMillis = nowMillis - maxOf(oldestMillis, receivedAtMillis)
+        val pinged = pingedAtMillis
+        when {
+            !isOpen && nowMillis - dialedAtMillis > OPEN_TIMEOUT_MILLIS -> return giveUp("no connection in time")
+            pinged != null && nowMillis - pinged > PONG_TIMEOUT_MILLIS -> return giveUp("silent")
+            isOpen && pinged == null && silentMillis > SILENCE_MILLIS -> {
+                pingedAtMillis = nowMillis
+                events.onSilent(this)
+                link.send(HostMessage(ping = true))
+            }
+        }
+        watch = timers.after(WATCH_INTERVAL_MILLIS) { watch() }
+    }
+
+    private fun giveUp(reason: String) {
+        log.event("forward", "given_up", "to", member.name, "reason", reason, "operations", operations.size)
+        events.onSilent(this)
+        close()
+    }
+
+    private class Waiting(val listener: OperationListener) {
+        /** When the step without an answer was sent, or null when there is none. */
+        var sentAtMillis: Long? = null
+    }
+
+    private companion object {
+        const val WATCH_INTERVAL_MILLIS = 150L
+
+        /** How long nothing may arrive while an answer is outstanding, before the member is pinged. */
+        const val SILENCE_MILLIS = 350L
+
+        /** How long a pong may take. Leaves room for a lost packet that is sent again twice. */
+        const val PONG_TIMEOUT_MILLIS = 800L
+
+        const val OPEN_TIMEOUT_MILLIS = 600L
+    }
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
@@ -0,0 +1,21 @@
+package dev.cardamomlane.engine.forward
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/**
+ * A message on a connection between two hosts. At most one of [request] and [answer] is set.
+ *
+ * @property ping asks for a message with [pong] set, to see whether the connection still carries messages
+ * @property isLeaving true when the sender takes no new operations
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+public data class HostMessage(
+    @CborLabel(1) val request: OperationRequest? = null,
+    @CborLabel(2) val answer: OperationAnswer? = null,
+    @CborLabel(3) val ping: Boolean = false,
+    @CborLabel(4) val pong: Boolean = false,
+    @CborLabel(5) val isLeaving: Boolean = false,
+)
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessageCodec.kt
@@ -0,0 +1,14 @@
+package dev.cardamomlane.engine.forward
+
+import dev.cardamomlane.core.codec.CborMessages
+
+/** Encodes and decodes the messages on connections between hosts as CBOR. */
+public object HostMessageCodec {
+    private val messages = CborMessages(HostMessage.serializer())
+
+    /** Encodes [message], without any framing. */
+    public fun encode(message: HostMessage): ByteArray = messages.encode(message)
+
+    /** Decodes a message, or returns null when [bytes] are not one. */
+    public fun decode(bytes: ByteArray): HostMessage? = messages.decode(bytes)
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
@@ -0,0 +1,59 @@
+package dev.cardamomlane.engine.forward
+
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.session.CallerSession
+
+/**
+ * The operations that another host forwards to this one over one connection. Each runs in a session of its own.
+ *
+ * Not safe for use by several threads.
+ *
+ * @param sessions opens a session for an operation, or returns null when this host takes none
+ */
+internal class IncomingOperations(
+    private val link: HostLink,
+    private val timers: TimerService,
+    private val sessions: ForwardedSessions,
+) : HostLinkListener {
+    private val operations = HashMap<Long, IncomingOperation>()
+
+    override fun onOpened() = Unit
+
+    override fun onMessage(message: HostMessage) {
+        if (message.ping) link.send(HostMessage(pong = true))
+        message.request?.let(::onRequest)
+    }
+
+    override fun onClosed() {
+        val open = operations.values.toList()
+        operations.clear()
+        open.forEach { it.abandon() }
+        sessions.onLinkClosed(this)
+    }
+
+    /** Tells the other host that this one takes no new operations. */
+    fun announceLeaving() {
+        link.send(HostMessage(isLeaving = true))
+    }
+
+    private fun onRequest(request: OperationRequest) {
+        val known = operations[request.operation]
+        val start = request.start
+        when {
+            request.kind == StepKind.ROLLBACK -> operations.remove(request.operation)?.abandon()
+            known != null -> known.onStep(request)
+            start != null -> IncomingOperation(request.operation, start, link, timers, sessions) { ended ->
+                operations.remove(ended)
+            }.also { operations[request.operation] = it }.onStep(request)
+            else -> IncomingOperation.answerAborted(link, request, sessions.configurationVersion)
+        }
+    }
+
+    /** Aborts the open transactions, see [CallerSession.abortTransaction]. */
+    fun abortTransactions(reason: String) {
+        operations.values.toList().forEach { it.abortTransaction(reason) }
+    }
+
+    /** True when no operation is under way. */
+    val isIdle: Boolean get() = operations.isEmpty()
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationListener.kt
@@ -0,0 +1,10 @@
+package dev.cardamomlane.engine.forward
+
+/** Receives the answers to the steps of one forwarded operation. */
+internal interface OperationListener {
+    /** The last step got its answer. */
+    fun onAnswer(answer: OperationAnswer)
+
+    /** The connection ended; no more answers come. [mayHaveArrived] is false when no step reached the member. */
+    fun onLost(mayHaveArrived: Boolean)
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -144,15 +144,15 @@
 
     private fun refuseIfTooLate(work: Work) {
         if (work.needsPrimary && !isPrimaryUsable() && !isPrimaryExpected()) {
-            return refuseQueued(work, "no primary is in reach")
+            return refuseQueued(work, "no primary is in reach", ErrorCode.UNAVAILABLE)
         }
         val expectedMillis = expectedWaitMillis(work)
         if (expectedMillis > work.route.timeoutMillis * EXPECTED_WAIT_FRACTION) refuseQueued(work, "queue is too long")
     }
 
-    private fun refuseQueued(work: Work, reason: String) {
+    private fun refuseQueued(work: Work, reason: String, code: ErrorCode = ErrorCode.BUSY) {
         queue.remove(work)
-        work.refuse(ErrorCode.BUSY, reason)
+        work.refuse(code, reason)
     }
 
     private fun expectedWaitMillis(work: Work): Double {
@@ -397,7 +397,7 @@
             when {
                 work.isOver -> queue.remove(work)
                 waitedMillis > longestWaitMillis(work) -> refuseQueued(work, "waited too long")
-                lacksPrimary -> refuseQueued(work, "no primary is in reach")
+                lacksPrimary -> refuseQueued(work, "no primary is in reach", ErrorCode.UNAVAILABLE)
             }
         }
         startQueued()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -6,6 +6,7 @@
 import dev.cardamomlane.core.limits.RefusalReason
 import dev.cardamomlane.engine.config.Customer
 import dev.cardamomlane.engine.config.Route
+import dev.cardamomlane.engine.forward.ServingPlace
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.Work
 import dev.cardamomlane.engine.statement.Access
@@ -22,20 +23,26 @@
  *
  * Route, key and rate are looked up for each operation, so that a changed configuration applies to open sessions.
  *
+ * An operation runs on the host that [dev.cardamomlane.engine.forward.Forwarder] chooses. That host runs it in a session
+ * of its own, which adopts this one's state and lasts as long as the operation.
+ *
  * Not safe for use by several threads.
+ *
+ * @param isForwarded true for an operation that another host has sent here, which must run here
  */
 public class CallerSession internal constructor(
     private val services: SessionServices,
     private val link: CallerLink,
     private val database: String,
     private val key: String?,
+    private val isForwarded: Boolean = false,
 ) {
     private val values = LinkedHashMap<String, String>()
     private val prepared = HashMap<String, PreparedPlan>()
     private val pending = ArrayDeque<IncomingStatement>()
     private var current: IncomingStatement? = null
     private var transaction: Transaction? = null
-    private var statementExecution: StatementExecution? = null
+    private var runningStatement: RunningStatement? = null
     private var lastCommit: LogPosition? = null
     private var isClosed = false
     private var isClosing = false
@@ -61,6 +68,19 @@
         link.refuse(error)
     }
 
+    /** Takes over the session values, and the position of the last commit, of the session that an operation is from. */
+    internal fun adopt(newValues: Map<String, String>, commit: LogPosition? = lastCommit) {
+        values.clear()
+        values.putAll(newValues)
+        lastCommit = commit
+    }
+
+    /** Makes [plan] known, and returns the name by which it can be executed. */
+    internal fun adopt(plan: PreparedPlan): String {
+        prepared[plan.targetName] = plan
+        return plan.targetName
+    }
+
     /** Refuses the session with [ErrorCode.BUSY] and [text]. */
     internal fun refuse(text: String) {
         isClosed = true
@@ -85,7 +105,7 @@
         isClosed = true
         idleTimer?.cancel()
         pending.clear()
-        statementExecution?.cancel()
+        runningStatement?.cancel()
         transaction?.execution?.rollback()
         transaction = null
     }
@@ -178,25 +198,33 @@
     }
 
     private fun begin(incoming: IncomingStatement, statement: Statement.Begin) {
-        withRoute(incoming) { route, group, customer ->
-            admit(incoming, route, customer) {
-                val isReadOnly = statement.isReadOnly
-                val name = customer?.id?.value ?: ANONYMOUS_CUSTOMER
-                val execution = TransactionExecution(
-                    services,
-                    group,
-                    route,
-                    isReadOnly,
-                    name,
-                    lastCommit,
-                    incoming.arrivedAtMillis,
-                )
-                transaction = Transaction(execution, failure = null)
-                succeed(incoming)
+        withRoute(incoming) { route, customer ->
+            if (isRemote(customer)) {
+                open(incoming, RemoteTransaction(remoteCall(route, customer), statement.isReadOnly))
+            } else {
+                withGroup(incoming, route) { group ->
+                    admit(incoming, route, customer) {
+                        val execution = TransactionExecution(
+                            services,
+                            group,
+                            route,
+                            statement.isReadOnly,
+                            nameOf(customer),
+                            lastCommit,
+                            incoming.arrivedAtMillis,
+                        )
+                        open(incoming, execution)
+                    }
+                }
             }
         }
     }
 
+    private fun open(incoming: IncomingStatement, execution: OpenTransaction) {
+        transaction = Transaction(execution, failure = null)
+        succeed(incoming)
+    }
+
     private fun run(incoming: IncomingStatement, statement: ResolvedStatement, open: Transaction?) {
         val execution = open?.execution
         if (execution != null) {
@@ -205,9 +233,47 @@
             }
             return
         }
-        withRoute(incoming) { route, group, customer ->
-            admit(incoming, route, customer) { startStatement(incoming, statement, route, group, customer) }
+        withRoute(incoming) { route, customer ->
+            if (isRemote(customer)) {
+                startRemoteStatement(incoming, statement, route, customer)
+            } else {
+                withGroup(incoming, route) { group ->
+                    admit(incoming, route, customer) { startStatement(incoming, statement, route, group, customer) }
+                }
+            }
+        }
+    }
+
+    private fun isRemote(customer: Customer?): Boolean = !isForwarded &&
+        services.forwarder.place(nameOf(customer)) !is ServingPlace.Here
+
+    private fun remoteCall(route: Route, customer: Customer?) =
+        RemoteCall(services, route, database, key, nameOf(customer), lastCommit)
+
+    private fun nameOf(customer: Customer?): String = customer?.id?.value ?: ANONYMOUS_CUSTOMER
+
+    private fun startRemoteStatement(
+        incoming: IncomingStatement,
+        statement: ResolvedStatement,
+        route: Route,
+        customer: Customer?,
+    ) {
+        val execution = RemoteStatement(remoteCall(route, customer), statement, stateFor(statement)) { outcome ->
+            onStatementOutcome(incoming, statement, route, outcome)
         }
+        runningStatement = execution
+        execution.start()
+    }
+
+    private fun onStatementOutcome(
+        incoming: IncomingStatement,
+        statement: ResolvedStatement,
+        route: Route,
+        outcome: Outcome,
+    ) {
+        runningStatement = null
+        if (statement.access == Access.WRITE && outcome.error == null) recordCommit(outcome.position)
+        answer(incoming, outcome, route)
     }
 
     private fun startStatement(
@@ -218,16 +284,14 @@
         customer: Customer?,
     ) {
         val execution = StatementExecution(services, group, route, statement) { outcome ->
-            statementExecution = null
-            if (statement.access == Access.WRITE && outcome.error == null) recordCommit(outcome.position)
-            answer(incoming, outcome, route)
+            onStatementOutcome(incoming, statement, route, outcome)
         }
-        statementExecution = execution
+        runningStatement = execution
         execution.start(
             Work(
                 id = incoming.id,
                 route = route,
-                customerName = customer?.id?.value ?: ANONYMOUS_CUSTOMER,
+                customerName = nameOf(customer),
                 state = stateFor(statement),
                 needsPrimary = statement.access == Access.WRITE,
                 ownPosition = lastCommit,
@@ -238,7 +302,7 @@
         )
     }
 
-    private fun onTransactionOutcome(incoming: IncomingStatement, execution: TransactionExecution, outcome: Outcome) {
+    private fun onTransactionOutcome(incoming: IncomingStatement, execution: OpenTransaction, outcome: Outcome) {
         if (execution.isFailed) transaction = transaction?.failed(outcome.error?.text ?: "unknown")
         answer(incoming, outcome, execution.route)
     }
@@ -270,14 +334,18 @@
     private fun stateFor(statement: ResolvedStatement) =
         SessionState(LinkedHashMap(values), listOfNotNull(statement.plan))
 
-    private fun withRoute(incoming: IncomingStatement, then: (Route, DatabaseGroup, Customer?) -> Unit) {
+    private fun withRoute(incoming: IncomingStatement, then: (Route, Customer?) -> Unit) {
         val configuration = services.configuration
         val route = configuration.routes[database]
             ?: return refuse(incoming, ErrorCode.UNKNOWN_DATABASE, "no database $database")
         val customer = key?.let { configuration.customersByKey[it] }
         if (customer == null && !route.isPublic) return refuse(incoming, ErrorCode.UNAUTHORIZED, "the key is not valid")
-        val group = services.group(route.group) ?: return fail(incoming, ErrorCode.BUSY, "no target is known")
-        then(route, group, customer)
+        then(route, customer)
+    }
+
+    private fun withGroup(incoming: IncomingStatement, route: Route, then: (DatabaseGroup) -> Unit) {
+        val group = services.group(route.group) ?: return fail(incoming, ErrorCode.UNAVAILABLE, "no target is known")
+        then(group)
     }
 
     /** Refuses an operation that the configuration does not allow, and closes the session after the answer. */
@@ -306,7 +374,8 @@
             return
         }
         val text = "${admission.reason.text}, not run, retry after ${admission.retryAfterMillis} ms"
-        answer(incoming, Outcome.error(ErrorCode.BUSY, text), route)
+        val code = if (admission.reason == RefusalReason.OVER_RATE) ErrorCode.BUSY else ErrorCode.UNAVAILABLE
+        answer(incoming, Outcome.error(code, text), route)
     }
 
     private fun failMalformed(incoming: IncomingStatement, text: String) = fail(incoming, ErrorCode.MALFORMED, text)
@@ -365,7 +434,7 @@
     private class IncomingStatement(val id: String, val statement: Statement, val arrivedAtMillis: Long)
 
     /** An open transaction. A failed one has no execution and only waits for the caller's commit or rollback. */
-    private class Transaction(val execution: TransactionExecution?, val failure: String?) {
+    private class Transaction(val execution: OpenTransaction?, val failure: String?) {
         fun failed(reason: String): Transaction {
             execution?.rollback()
             return Transaction(execution = null, failure = reason)
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OpenTransaction.kt
@@ -0,0 +1,20 @@
+package dev.cardamomlane.engine.session
+
+import dev.cardamomlane.engine.config.Route
+
+/** A transaction of a caller, which runs on this host or on another one. */
+internal interface OpenTransaction {
+    val route: Route
+
+    /** True once the transaction has failed, so that it can only be ended. */
+    val isFailed: Boolean
+
+    /** Runs [statement] and calls [done] once with its outcome. The previous statement must have its outcome. */
+    fun run(statement: ResolvedStatement, state: SessionState, done: (Outcome) -> Unit)
+
+    /** Commits and calls [done] once with the outcome, which ends the transaction. */
+    fun commit(id: String, state: SessionState, done: (Outcome) -> Unit)
+
+    /** Rolls back without waiting for an answer. */
+    fun rollback()
+}
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
@@ -0,0 +1,62 @@
+package dev.cardamomlane.engine.session
+
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.engine.config.Route
+import dev.cardamomlane.engine.forward.Forwarder
+import dev.cardamomlane.engine.forward.HostConnection
+import dev.cardamomlane.engine.forward.OperationAnswer
+import dev.cardamomlane.engine.forward.OperationStart
+import dev.cardamomlane.engine.forward.ServingPlace
+import dev.cardamomlane.engine.forward.TransactionKind
+import dev.cardamomlane.engine.statement.StatementError
+
+/**
+ * What the forwarded operations of one session need: who asks, for what, and over which connections.
+ *
+ * @property lastCommit the log position of the session's last commit, or null when there is none
+ */
+internal class RemoteCall(
+    val services: SessionServices,
+    val route: Route,
+    val database: String,
+    val key: String?,
+    val customerName: String,
+    val lastCommit: LogPosition?,
+) {
+    val forwarder: Forwarder get() = services.forwarder
+    private val tried = HashSet<String>()
+
+    /** The connection to the member that comes next, or null when there is none to try. */
+    fun nextConnection(): HostConnection? {
+        if (tried.size >= MAX_HOSTS) return null
+        val place = forwarder.place(customerName, tried) as? ServingPlace.Remote ?: return null
+        tried += place.connection.member.name
+        return place.connection
+    }
+
+    fun start(transaction: TransactionKind) = OperationStart(
+        database = database,
+        key = key,
+        transaction = transaction,
+        commitTerm = lastCommit?.term ?: NO_POSITION,
+        commitOffset = lastCommit?.offset ?: NO_POSITION,
+        configurationVersion = maxOf(services.configuration.version, forwarder.newestVersion),
+    )
+
+    companion object {
+        /** Stands for a log position that is not known. */
+        const val NO_POSITION = -1L
+
+        /** How many members are tried for one operation. */
+        private const val MAX_HOSTS = 3
+
+        fun position(term: Long, offset: Long): LogPosition? = if (term < 0) null else LogPosition(term, offset)
+
+        fun outcome(answer: OperationAnswer) = Outcome(
+            rows = answer.rows,
+            digest = answer.digest,
+            error = answer.error?.let { StatementError(it, answer.errorText) },
+            position = position(answer.positionTerm, answer.positionOffset),
+        )
+    }
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/ResolvedStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/ResolvedStatement.kt
@@ -11,12 +11,7 @@
  * @param text the statement as it is, or the arguments when [plan] is not null
  * @property plan the plan that must be prepared on the connection, or null for a statement that was not prepared
  */
-internal class ResolvedStatement(
-    val id: String,
-    val access: Access,
-    private val text: String,
-    val plan: PreparedPlan?,
-) {
+internal class ResolvedStatement(val id: String, val access: Access, val text: String, val plan: PreparedPlan?) {
     /** The statement to send to a target that must have applied [after]; null sets no condition. */
     fun toTarget(after: LogPosition?): TargetStatement = if (plan == null) {
         TargetStatement.Run(id, text, after)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -26,7 +26,8 @@
     private val route: Route,
     private val statement: ResolvedStatement,
     private val done: (Outcome) -> Unit,
-) : WorkRunner {
+) : WorkRunner,
+    RunningStatement {
     private val attempts = ArrayList<Attempt>(1)
     private var work: Work? = null
     private var isFinished = false
@@ -43,7 +44,7 @@
     }
 
     /** Ends the execution without an outcome, as its caller has left. Has no effect while an attempt is under way. */
-    fun cancel() {
+    override fun cancel() {
         if (attempts.isEmpty()) finish(null)
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -24,12 +24,13 @@
 internal class TransactionExecution(
     private val services: SessionServices,
     private val group: DatabaseGroup,
-    val route: Route,
+    override val route: Route,
     val isReadOnly: Boolean,
     private val customerName: String,
     private val ownPosition: LogPosition?,
     private val startedAtMillis: Long,
-) : WorkRunner,
+) : OpenTransaction,
+    WorkRunner,
     InFlightWrite {
     private var pinned: PooledConnection? = null
     private var pinnedTarget: Target? = null
@@ -41,25 +42,22 @@
 
     override val target: Target get() = pinnedTarget!!
 
-    /** True once the transaction has failed, so that it can only be ended. */
-    var isFailed = false
+    override var isFailed = false
         private set
 
     /** True once nothing more is sent for the transaction. */
     private var isFinished = false
 
-    /** Runs [statement] and calls [done] once with its outcome. The previous statement must have its outcome. */
-    fun run(statement: ResolvedStatement, state: SessionState, done: (Outcome) -> Unit) {
+    override fun run(statement: ResolvedStatement, state: SessionState, done: (Outcome) -> Unit) {
         begin(Step(statement.id, statement, state, done))
     }
 
-    /** Commits and calls [done] once with the outcome, which ends the transaction. */
-    fun commit(id: String, state: SessionState, done: (Outcome) -> Unit) {
+    override fun commit(id: String, state: SessionState, done: (Outcome) -> Unit) {
         begin(Step(id, null, state, done))
     }
 
-    /** Rolls back without waiting for an answer; closes the connection if a statement on it has none yet. */
-    fun rollback() {
+    /** Closes the connection instead if a statement on it has no answer yet. */
+    override fun rollback() {
         isFinished = true
         group.transactionEnded(this)
         queued?.end()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/ErrorCode.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/ErrorCode.kt
@@ -1,14 +1,20 @@
 package dev.cardamomlane.engine.statement
 
+import kotlinx.serialization.Serializable
+
 /**
  * Why a statement failed.
  *
  * @property isNotRun true when the code guarantees that the statement has no effect
  */
+@Serializable
 public enum class ErrorCode(public val isNotRun: Boolean) {
     /** The host or target has no capacity for the statement now. */
     BUSY(isNotRun = true),
 
+    /** This host can't serve the statement now, but another host may. */
+    UNAVAILABLE(isNotRun = true),
+
     /** The transaction was rolled back; it has no effect. */
     ABORTED(isNotRun = true),
 
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -0,0 +1,100 @@
+package dev.cardamomlane.engine
+
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.forward.HostDialer
+import dev.cardamomlane.engine.forward.HostLink
+import dev.cardamomlane.engine.forward.HostLinkListener
+import dev.cardamomlane.engine.forward.HostMessage
+import dev.cardamomlane.engine.forward.HostMessageCodec
+
+/**
+ * The connections between hosts in memory. Every message passes the codec. While [isPartitioned] returns true for two
+ * hosts, nothing arrives between them.
+ */
+class FakeHostLinks(private val timers: TimerService, private val isPartitioned: (String, String) -> Boolean) {
+    private val hosts = HashMap<String, ProxyHost>()
+    private val ends = ArrayList<End>()
+
+    /** The number of connections that were opened. */
+    var openedCount = 0
+        private set
+
+    /** The requests that arrived at each host. */
+    val requestCounts = HashMap<String, Int>()
+
+    fun add(name: String, host: ProxyHost) {
+        hosts[name] = host
+    }
+
+    fun dialerFor(name: String): HostDialer = HostDialer { address, listener -> dial(name, address, listener) }
+
+    /** Ends every connection of the host [name], as a crash of it does. */
+    fun disconnect(name: String) {
+        ends.filter { it.from == name || it.to == name }.forEach { it.disconnect() }
+    }
+
+    private fun dial(from: String, to: String, listener: HostLinkListener): HostLink {
+        openedCount++
+        val near = End(from, to)
+        val far = End(to, from)
+        near.other = far
+        far.other = near
+        near.listener = listener
+        ends += near
+        ends += far
+        timers.after(CONNECT_MILLIS) {
+            val host = hosts[to]
+            if (near.isClosed || host == null || isPartitioned(from, to)) return@after
+            far.listener = host.onHostLink(far)
+            near.open()
+            far.open()
+            listener.onOpened()
+        }
+        return near
+    }
+
+    private inner class End(val from: String, val to: String) : HostLink {
+        lateinit var other: End
+        lateinit var listener: HostLinkListener
+        var isClosed = false
+        private var isOpen = false
+        private val unsent = ArrayList<HostMessage>()
+
+        fun open() {
+            isOpen = true
+            unsent.forEach(::deliver)
+            unsent.clear()
+        }
+
+        override fun send(message: HostMessage) {
+            if (isClosed) return
+            if (isOpen) deliver(message) else unsent += message
+        }
+
+        private fun deliver(message: HostMessage) {
+            val bytes = HostMessageCodec.encode(message)
+            timers.after(DELAY_MILLIS) {
+                if (other.isClosed || isPartitioned(from, to)) return@after
+                if (message.request != null) requestCounts.merge(to, 1, Int::plus)
+                other.listener.onMessage(checkNotNull(HostMessageCodec.decode(bytes)))
+            }
+        }
+
+        override fun close() {
+            if (isClosed) return
+            isClosed = true
+            timers.after(DELAY_MILLIS) { if (isOpen && !isPartitioned(from, to)) other.disconnect() }
+        }
+
+        fun disconnect() {
+            if (isClosed) return
+            isClosed = true
+            if (::listener.isInitialized) listener.onClosed()
+        }
+    }
+
+    private companion object {
+        const val CONNECT_MILLIS = 1L
+        const val DELAY_MILLIS = 1L
+    }
+}
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeStore.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeStore.kt
@@ -12,10 +12,13 @@
 /** An in-memory store that answers at once. While [isDown], it can't be reached. */
 class FakeStore : ControlStore {
     private val recordsByGroup = HashMap<String, GroupRecord>()
-    private val membersByName = HashMap<String, MemberRow>()
+    private val rowsBySeat = sortedMapOf<Int, MemberRow>()
     private var version = 0L
     var isDown = false
 
+    /** The rows of the seats that are taken. */
+    val seats: Collection<MemberRow> get() = rowsBySeat.values
+
     /** The record writes that were applied, in order. */
     val written = ArrayList<GroupRecord>()
 
@@ -23,7 +26,7 @@
         if (isDown) {
             Mono.error(StoreUnavailableException("down"))
         } else {
-            Mono.just(ControlRows(recordsByGroup.values.toList(), membersByName.values.toList()))
+            Mono.just(ControlRows(recordsByGroup.values.toList(), rowsBySeat.values.toList()))
         }
     }
 
@@ -35,14 +38,15 @@
         StoreWrite.Applied(version)
     }
 
-    override fun writeMember(member: Member): Mono<StoreWrite> = change {
-        membersByName[member.name] = MemberRow(member, ++version)
+    override fun writeMember(seat: Int, member: Member, expectedVersion: Long): Mono<StoreWrite> = change {
+        if ((rowsBySeat[seat]?.version ?: 0) != expectedVersion) return@change StoreWrite.Conflict
+        rowsBySeat[seat] = MemberRow(seat, member, ++version)
         StoreWrite.Applied(version)
     }
 
-    override fun removeMember(name: String, expectedVersion: Long): Mono<StoreWrite> = change {
-        if (membersByName[name]?.version != expectedVersion) return@change StoreWrite.Conflict
-        membersByName.remove(name)
+    override fun removeMember(seat: Int, expectedVersion: Long): Mono<StoreWrite> = change {
+        if (rowsBySeat[seat]?.version != expectedVersion) return@change StoreWrite.Conflict
+        rowsBySeat.remove(seat)
         StoreWrite.Applied(++version)
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -44,6 +44,9 @@
     /** Names of hosts that can't reach the store and whose promotion requests get no answer. */
     val hostsWithoutPlatform = HashSet<String>()
     val hosts: List<ProxyHost>
+
+    /** The connections between the hosts. */
+    val links = FakeHostLinks(timers) { from, to -> from in partitionedHosts || to in partitionedHosts }
     private val hostsByAddress = HashMap<String, ProxyHost>()
 
     init {
@@ -59,12 +62,13 @@
 
     private fun host(name: String): ProxyHost {
         val host = ProxyHost(
-            self = Member(name, incarnation = 1, address = name, snapshotAddress = name),
-            zone = "a",
+            self = Member(name, incarnation = 1, address = name, snapshotAddress = name, zone = "a"),
+            zones = listOf("a"),
             timers = timers,
             dialer = targets.dialerFor(name),
             store = PartitionableStore(store) { name in hostsWithoutPlatform },
             network = { address, message -> deliver(name, address, message) },
+            hostDialer = links.dialerFor(name),
             promotion = { _, target, holder, fence ->
                 if (holder.substringBefore('#') in
                     hostsWithoutPlatform
@@ -78,6 +82,7 @@
             meter = { _, _, _ -> },
         )
         hostsByAddress[name] = host
+        links.add(name, host)
         return host
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/PartitionableStore.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/PartitionableStore.kt
@@ -16,10 +16,11 @@
     override fun writeRecord(record: GroupRecord, expectedVersion: Long): Mono<StoreWrite> =
         write { store.writeRecord(record, expectedVersion) }
 
-    override fun writeMember(member: Member): Mono<StoreWrite> = write { store.writeMember(member) }
+    override fun writeMember(seat: Int, member: Member, expectedVersion: Long): Mono<StoreWrite> =
+        write { store.writeMember(seat, member, expectedVersion) }
 
-    override fun removeMember(name: String, expectedVersion: Long): Mono<StoreWrite> =
-        write { store.removeMember(name, expectedVersion) }
+    override fun removeMember(seat: Int, expectedVersion: Long): Mono<StoreWrite> =
+        write { store.removeMember(seat, expectedVersion) }
 
     private fun write(call: () -> Mono<StoreWrite>): Mono<StoreWrite> =
         Mono.defer { if (isPartitioned()) Mono.just(StoreWrite.Unknown("partitioned")) else call() }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
@@ -9,12 +9,12 @@
 import kotlin.random.Random
 
 /**
- * One schedule: five hosts, three targets, and faults drawn from a seed. Records which writes the targets ran and which
+ * One schedule: [hostCount] hosts, three targets, and faults drawn from a seed. Records which writes the targets ran and which
  * answers the callers got, and compares them.
  */
-class FleetSimulation(seed: Int) {
+class FleetSimulation(seed: Int, private val hostCount: Int = 5) {
     private val random = Random(seed)
-    private val fixture = HostFixture(hostCount = HOSTS)
+    private val fixture = HostFixture(hostCount, settleMillis = 2_000)
     private val timers = fixture.timers
     private val ids = listOf("p", "r1", "r2")
     private val partitionedReplicas = HashSet<String>()
@@ -25,7 +25,8 @@
     private val reads = HashMap<String, Read>()
     private var primary = fixture.targets.target("p")
     private var writeCount = 0
-    private val callers = List(HOSTS) { Caller(it, DATABASES[it % DATABASES.size]) } + Caller(0, "latest")
+    private val callers = List(CALLERS) { Caller(it * hostCount / CALLERS, DATABASES[it % DATABASES.size]) } +
+        Caller(0, "latest")
 
     val promotionCount: Int get() = fixture.promotions.size
     val acknowledgedCount: Int get() = acknowledgedAtMillis.size
@@ -49,8 +50,8 @@
     }
 
     private fun injectFault() {
-        val host = "host-${random.nextInt(HOSTS)}"
-        when (random.nextInt(11)) {
+        val host = "host-${random.nextInt(hostCount)}"
+        when (random.nextInt(12)) {
             0 -> fixture.store.isDown = !fixture.store.isDown
             1 -> fixture.partitionedHosts += host
             2 -> fixture.hostsWithoutPlatform += host
@@ -59,14 +60,15 @@
             5 -> partitionedReplicas += ids.random(random)
             6 -> primary.lostAnswers = 2
             7 -> splitFleet()
+            8 -> fixture.links.disconnect(host)
             else -> endFaults()
         }
     }
 
     /** One or two hosts keep the primary and lose everything else; the other hosts lose the primary. */
     private fun splitFleet() {
-        val kept = List(2) { random.nextInt(HOSTS) }.toSet()
-        for (host in 0 until HOSTS) {
+        val kept = List(2) { random.nextInt(hostCount) }.toSet()
+        for (host in 0 until hostCount) {
             if (host in kept) {
                 fixture.partitionedHosts += "host-$host"
                 fixture.hostsWithoutPlatform += "host-$host"
@@ -200,7 +202,7 @@
     }
 
     private companion object {
-        const val HOSTS = 5
+        const val CALLERS = 5
         val DATABASES = listOf("latest", "session", "bounded")
         const val STEPS = 700
         const val STEP_MILLIS = 25L
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulationTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulationTest.kt
@@ -16,6 +16,15 @@
         assertEquals(emptyList(), findings)
     }
 
+    @Test
+    fun `no schedule does so in a fleet in which most hosts forward to members`() {
+        val findings = (1..FORWARDING_SCHEDULES).flatMap { seed ->
+            FleetSimulation(seed, hostCount = FORWARDING_HOSTS).run().map { "seed $seed: $it" }
+        }
+
+        assertEquals(emptyList(), findings)
+    }
+
     @Test
     fun `the schedules replace primaries and acknowledge writes`() {
         val runs = (1..15).map { seed -> FleetSimulation(seed).also { it.run() } }
@@ -26,5 +35,7 @@
 
     private companion object {
         const val SCHEDULES = 30
+        const val FORWARDING_SCHEDULES = 20
+        const val FORWARDING_HOSTS = 20
     }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
@@ -8,12 +8,25 @@
     @Test
     fun `a decoded heartbeat equals the encoded one`() {
         val status = GroupStatus("g", 1, 2, "t", true, false, "h#1", 3, 3, 99, 10, 5, listOf("u"), 1)
-        val heartbeat = Heartbeat(1, -1, 0, 0, 20, 42, 7, 3L, listOf(status), listOf(CustomerDemand("press", 0f, 0)))
+        val demand = listOf(CustomerDemand("press", 0f, 0))
+        val heartbeat = Heartbeat(1, -1, 0, 0, 20, 42, 7, true, listOf("b"), listOf(status), demand)
         val sent = PeerMessage("a", incarnation = 0, heartbeat)
 
         assertEquals(sent, PeerCodec.decode(PeerCodec.encode(sent)))
     }
 
+    @Test
+    fun `a decoded query and a decoded list equal the encoded ones`() {
+        val member = Member("b", 3, "1.2.3.4:5", "1.2.3.4:6", zone = "z", cores = 0.5)
+        val list = MemberList(listOf(ListedMember(member, isReady = true)), configurationVersion = 4)
+        val messages = listOf(
+            PeerMessage("a", incarnation = 1, query = MemberQuery("1.2.3.4:7")),
+            PeerMessage("b", incarnation = 3, list = list),
+        )
+
+        assertEquals(messages, messages.map { PeerCodec.decode(PeerCodec.encode(it)) })
+    }
+
     @Test
     fun `bytes that are no message decode to null`() {
         for (bytes in listOf(byteArrayOf(), byteArrayOf(1, 2, 3), "START a".toByteArray())) {
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -0,0 +1,225 @@
+package dev.cardamomlane.engine.forward
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.engine.FakeCaller
+import dev.cardamomlane.engine.HostFixture
+import dev.cardamomlane.engine.session.CallerSession
+import dev.cardamomlane.engine.statement.Access
+import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.statement.PreparedPlan
+import dev.cardamomlane.engine.statement.Statement
+import dev.cardamomlane.engine.statement.TargetStatement
+import dev.cardamomlane.engine.statement.TransactionState
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** A fleet of more hosts than seats: the hosts without a seat forward their callers' operations to members. */
+class ForwardingTest {
+    private val fixture = HostFixture(hostCount = HOSTS, settleMillis = 3_000)
+    private val primary = fixture.targets.target("p")
+    private val members = fixture.store.seats.map { it.member.name }.toSet()
+    private val forwarder = fixture.hosts.indices.first { "host-$it" !in members }
+    private val caller = FakeCaller()
+    private val read = Statement.Run(Access.READ, "READ 1")
+    private val write = Statement.Run(Access.WRITE, "WRITE 1 x")
+
+    private fun open(database: String = "latest", host: Int = forwarder): CallerSession =
+        fixture.open(caller, database, host)
+
+    private fun servingHost(): String = fixture.links.requestCounts.maxBy { it.value }.key
+
+    @Test
+    fun `nine hosts take seats and every host is ready`() {
+        assertEquals(9, members.size)
+        assertTrue(fixture.hosts.all { it.isReady })
+    }
+
+    @Test
+    fun `a host without a seat opens no connection to a target`() {
+        val session = open()
+        fixture.ask(session, caller, write)
+
+        assertEquals(TransactionState.IDLE, caller.answers.single().state)
+        assertEquals("digest", caller.answers.single().digest)
+        assertNull(fixture.hosts[forwarder].group(DatabaseId("g")))
+    }
+
+    @Test
+    fun `the callers of one customer at all hosts share one connection`() {
+        for (host in fixture.hosts.indices) {
+            val each = FakeCaller()
+            assertNull(fixture.ask(fixture.open(each, "latest", host), each, write)?.error)
+        }
+
+        val customerConnections = fixture.targets.links.filter { link -> link.sent.any { it is TargetStatement.Run } }
+        assertEquals(1, customerConnections.size)
+    }
+
+    @Test
+    fun `session values and prepared statements are set where the statement runs`() {
+        val session = open()
+        fixture.ask(session, caller, Statement.SetValue("a", "b"))
+        fixture.ask(session, caller, Statement.Prepare("mine", PreparedPlan(Access.WRITE, "q")))
+
+        val answer = fixture.ask(session, caller, Statement.Execute("mine", "1 x"))
+
+        assertNull(answer?.error)
+        assertEquals(listOf("w_q 1 x"), primary.ran)
+        assertTrue(fixture.targets.links.any { it.values == mapOf("a" to "b") })
+    }
+
+    @Test
+    fun `a transaction runs on one connection and commits`() {
+        val session = open()
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        assertEquals(TransactionState.OPEN, caller.answers.last().state)
+        fixture.ask(session, caller, read)
+        val answer = fixture.ask(session, caller, Statement.Commit)
+
+        assertEquals("digest", answer?.digest)
+        assertEquals(TransactionState.IDLE, answer?.state)
+        assertEquals(listOf("WRITE 1 x", "READ 1", "COMMIT"), primary.ran)
+        assertEquals(1, fixture.targets.links.count { link -> link.sent.any { it is TargetStatement.Begin } })
+    }
+
+    @Test
+    fun `a caller that leaves inside a transaction has it rolled back`() {
+        val session = open()
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.hosts[forwarder].closeSession(session)
+        fixture.timers.advance(100)
+
+        assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
+        assertTrue(primary.log.isEmpty())
+    }
+
+    @Test
+    fun `a session reads its own write although another host serves it`() {
+        val session = open("session")
+        fixture.ask(session, caller, write)
+        fixture.ask(session, caller, read)
+
+        assertTrue("READ 1" in primary.ran, "replicas lack the write: ${primary.ran}")
+    }
+
+    @Test
+    fun `a read is run at another member when the serving host is lost`() {
+        val session = open()
+        fixture.ask(session, caller, write)
+        val lost = servingHost()
+        primary.answersInMillis = 50
+        session.onStatement("r", read)
+        fixture.timers.advance(20)
+
+        fixture.partitionedHosts += lost
+        fixture.links.disconnect(lost)
+        fixture.timers.advance(400)
+
+        assertNull(caller.answers.last().error)
+        assertEquals("digest", caller.answers.last().digest)
+    }
+
+    @Test
+    fun `a write whose serving host is lost has an unknown outcome and is not sent again`() {
+        val session = open()
+        fixture.ask(session, caller, write)
+        val lost = servingHost()
+        primary.answersInMillis = 50
+        session.onStatement("w", Statement.Run(Access.WRITE, "WRITE 2 x"))
+        fixture.timers.advance(20)
+
+        fixture.links.disconnect(lost)
+        fixture.timers.advance(400)
+
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, caller.answers.last().error?.code)
+        assertTrue(primary.ran.count { it == "WRITE 2 x" } <= 1)
+    }
+
+    @Test
+    fun `a transaction whose serving host is lost before the commit is aborted`() {
+        val session = open()
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.links.disconnect(servingHost())
+        val answer = fixture.ask(session, caller, Statement.Commit)
+
+        assertEquals(ErrorCode.ABORTED, answer?.error?.code)
+        assertEquals(TransactionState.IDLE, answer?.state)
+        assertTrue(primary.log.isEmpty())
+    }
+
+    @Test
+    fun `a member that stopped answering is left out within a second and a half`() {
+        val session = open()
+        fixture.ask(session, caller, write)
+        fixture.partitionedHosts += servingHost()
+        session.onStatement("r1", read)
+        fixture.timers.advance(1_500)
+
+        val answer = fixture.ask(session, caller, read)
+
+        assertNull(answer?.error)
+    }
+
+    @Test
+    fun `a stopping member hands new operations to others and finishes those under way`() {
+        val session = open()
+        fixture.ask(session, caller, write)
+        val stopping = servingHost()
+        primary.answersInMillis = 300
+        session.onStatement("w", Statement.Run(Access.WRITE, "WRITE 2 x"))
+        fixture.timers.advance(10)
+        var isStopped = false
+
+        fixture.hosts[stopping.removePrefix("host-").toInt()].stop(5_000, stopAccepting = {}) { isStopped = true }
+        val second = FakeCaller()
+        val other = fixture.open(second, host = forwarder)
+        other.onStatement("w2", Statement.Run(Access.WRITE, "WRITE 3 x"))
+        fixture.timers.advance(800)
+
+        assertNull(caller.answers.last().error)
+        assertNull(second.answers.last().error)
+        fixture.timers.advance(3_000)
+        assertTrue(isStopped)
+    }
+
+    @Test
+    fun `an operation waits for a configuration as new as the one its host has used`() {
+        val newer = fixture.configuration(version = 2, databases = setOf("latest", "added"))
+        fixture.hosts[forwarder].configure(newer)
+        val session = open("added")
+        session.onStatement("w", write)
+        fixture.timers.advance(100)
+        assertTrue(caller.answers.isEmpty())
+
+        fixture.hosts.forEach { it.configure(newer) }
+        fixture.timers.advance(100)
+
+        assertNull(caller.answers.single().error)
+    }
+
+    @Test
+    fun `a host that can reach no member is not ready, closes idle sessions and refuses statements at once`() {
+        val session = open()
+        fixture.partitionedHosts += members
+        fixture.timers.advance(3_200)
+        val answer = fixture.ask(session, caller, write, millis = 1)
+        fixture.timers.advance(1_000)
+
+        assertEquals(ErrorCode.UNAVAILABLE, answer?.error?.code)
+        assertTrue(primary.ran.isEmpty())
+        assertTrue(caller.isClosed)
+        assertFalse(fixture.hosts[forwarder].isReady)
+    }
+
+    private companion object {
+        const val HOSTS = 14
+    }
+}
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/ReadRoutingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/ReadRoutingTest.kt
@@ -67,7 +67,7 @@
 
         val answer = fixture.ask(session, caller, write, millis = 3_000)
 
-        assertEquals(ErrorCode.BUSY, answer?.error?.code)
+        assertEquals(ErrorCode.UNAVAILABLE, answer?.error?.code)
         assertTrue(fixture.targets.target("p").ran.isEmpty())
     }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -288,7 +288,7 @@
         var isStopped = false
 
         fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) { isStopped = true }
-        assertFalse(fixture.hosts[0].isReady())
+        assertFalse(fixture.hosts[0].isReady)
         fixture.timers.advance(1_800)
 
         assertTrue(session.isIdle && caller.isClosed)
