Forwarding: a silent member is noticed by a ping and its reads go elsewhere

Cause: a member was left out as soon as a slow statement kept its connection quiet for 350 ms, and reads at a member that went dark waited for the connection to be given up. Change: 150 ms of quiet send a ping; only when its answer is overdue is the member left out, and reads are also sent to the next member. A host without a seat waits 300 ms for its own feed before it fetches a newer configuration. Tests: a read at a dark member is answered within 450 ms; a slow statement does not make its member avoided.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -111,8 +111,11 @@
         forwarder.onNewerConfiguration = ::fetchIfNewer
     }
 
+    /** A host without a seat waits a moment, since its own copy of the configuration usually arrives by then. */
     private fun fetchIfNewer(from: Member, version: Long) {
-        if (version > configuration.version) onNewerConfiguration(from, version)
+        if (version <= configuration.version) return
+        if (fleet.isRegistered) return onNewerConfiguration(from, version)
+        timers.after(FETCH_DELAY_MILLIS) { if (version > configuration.version) onNewerConfiguration(from, version) }
     }
 
     /** Takes over a connection that another host opened, and returns the listener for its events. */
@@ -329,6 +332,9 @@
         /** The most sessions that are closed at each heartbeat while this host is cut off. */
         private const val CUT_OFF_CLOSE_COUNT = 48
 
+        /** How long a host without a seat waits for a newer configuration before it fetches it from a member. */
+        private const val FETCH_DELAY_MILLIS = 300L
+
         /** How many members look out for a new configuration at short intervals. */
         private const val CLOSE_WATCHERS = 3
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -343,7 +343,7 @@
         private const val DEAD_MILLIS = 10_000L
 
         /** How long after the last query of a host without a seat such hosts are taken to exist. */
-        private const val FORWARDERS_MILLIS = 5_000L
+        private const val FORWARDERS_MILLIS = 15_000L
 
         /** A host without a seat reads the store when no member has answered for this time. */
         private const val SILENT_READ_MILLIS = 1_000L
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
@@ -9,8 +9,9 @@
 /**
  * This host's connection to one member, over which it forwards operations.
  *
- * While an answer is outstanding and nothing arrives, the member is first left out of new operations and pinged, and
- * then the connection is closed, so that a connection that went silent does not hold operations for long.
+ * While an answer is outstanding and nothing arrives, the member is pinged. Without an answer to the ping it is left out
+ * of new operations, and operations that may run twice are started at another member; some time later the connection is
+ * closed. So a member that is dark, or a connection that went silent, does not hold operations for long.
  *
  * Not safe for use by several threads.
  */
@@ -28,6 +29,7 @@
     private var isClosed = false
     private var receivedAtMillis = GroupRecords.NEVER
     private var pingedAtMillis: Long? = null
+    private var isSilent = false
     private var watch: TimerSubscription? = null
     private val link = dialer.dial(member.address, this)
 
@@ -69,6 +71,7 @@
     override fun onMessage(message: HostMessage) {
         receivedAtMillis = timers.nowMillis()
         pingedAtMillis = null
+        isSilent = false
         if (message.isLeaving) events.onLeaving(this)
         val answer = message.answer ?: return
         val waiting = operations[answer.operation] ?: return
@@ -102,19 +105,27 @@
         val oldestMillis = operations.values.mapNotNull { it.sentAtMillis }.minOrNull() ?: return
         val nowMillis = timers.nowMillis()
         val silentMillis = nowMillis - maxOf(oldestMillis, receivedAtMillis)
-        val pinged = pingedAtMillis
+        val pingedMillis = pingedAtMillis?.let { nowMillis - it }
         when {
             !isOpen && nowMillis - dialedAtMillis > OPEN_TIMEOUT_MILLIS -> return giveUp("no connection in time")
-            pinged != null && nowMillis - pinged > PONG_TIMEOUT_MILLIS -> return giveUp("silent")
-            isOpen && pinged == null && silentMillis > SILENCE_MILLIS -> {
+            pingedMillis != null && pingedMillis > PONG_TIMEOUT_MILLIS -> return giveUp("silent")
+            pingedMillis != null && pingedMillis > PONG_EXPECTED_MILLIS && !isSilent -> onSilent()
+            isOpen && pingedMillis == null && silentMillis > SILENCE_MILLIS -> {
                 pingedAtMillis = nowMillis
-                events.onSilent(this)
                 link.send(HostMessage(ping = true))
             }
         }
         watch = timers.after(WATCH_INTERVAL_MILLIS) { watch() }
     }
 
+    private fun onSilent() {
+        isSilent = true
+        events.onSilent(this)
+        for (waiting in operations.values.toList()) {
+            if (waiting.sentAtMillis != null) waiting.listener.onSilent()
+        }
+    }
+
     private fun giveUp(reason: String) {
         log.event("forward", "given_up", "to", member.name, "reason", reason, "operations", operations.size)
         events.onSilent(this)
@@ -127,13 +138,16 @@
     }
 
     private companion object {
-        const val WATCH_INTERVAL_MILLIS = 150L
+        const val WATCH_INTERVAL_MILLIS = 100L
 
         /** How long nothing may arrive while an answer is outstanding, before the member is pinged. */
-        const val SILENCE_MILLIS = 350L
+        const val SILENCE_MILLIS = 150L
+
+        /** How long a pong usually takes at most, on a link that loses no packet. */
+        const val PONG_EXPECTED_MILLIS = 100L
 
         /** How long a pong may take. Leaves room for a lost packet that is sent again twice. */
-        const val PONG_TIMEOUT_MILLIS = 800L
+        const val PONG_TIMEOUT_MILLIS = 900L
 
         const val OPEN_TIMEOUT_MILLIS = 600L
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationListener.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationListener.kt
@@ -5,6 +5,9 @@
     /** The last step got its answer. */
     fun onAnswer(answer: OperationAnswer)
 
+    /** The member answers nothing at the moment, not even a ping. The answer may still come. */
+    fun onSilent()
+
     /** The connection ended; no more answers come. [mayHaveArrived] is false when no step reached the member. */
     fun onLost(mayHaveArrived: Boolean)
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
@@ -47,6 +47,9 @@
         /** Stands for a log position that is not known. */
         const val NO_POSITION = -1L
 
+        /** How much longer than the route's timeout an answer is waited for: the serving host keeps the timeout. */
+        const val ANSWER_MARGIN_MILLIS = 60L
+
         /** How many members are tried for one operation. */
         private const val MAX_HOSTS = 3
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
@@ -13,26 +13,26 @@
 /**
  * Runs one statement outside a transaction on another host.
  *
- * It is sent to a further member when the first one answers that it can't serve, when it did not reach it, or when it
- * is a read whose answer was lost. When the answer to a write was lost, its outcome is unknown.
+ * It is sent to a further member when the first one answers that it can't serve or was not reached. A read is also sent
+ * to a further member when its answer is lost or the member is silent, and the first answer counts. When the answer to a
+ * write is lost, its outcome is unknown.
  */
 internal class RemoteStatement(
     private val call: RemoteCall,
     private val statement: ResolvedStatement,
     private val state: SessionState,
     private val done: (Outcome) -> Unit,
-) : RunningStatement,
-    OperationListener {
+) : RunningStatement {
     private val timers = call.services.timers
-    private var connection: HostConnection? = null
-    private var operation = 0L
+    private val attempts = LinkedHashSet<Attempt>()
     private var isFinished = false
     private var mayHaveRun = false
     private var timer: TimerSubscription? = null
+    private val isRead = statement.access == Access.READ
 
     /** Sends the statement. Calls `done` once, soon after the route's timeout at the latest, unless cancelled before. */
     fun start() {
-        timer = timers.after(call.route.timeoutMillis + ANSWER_MARGIN_MILLIS) { onTimeout() }
+        timer = timers.after(call.route.timeoutMillis + RemoteCall.ANSWER_MARGIN_MILLIS) { onTimeout() }
         sendToNext()
     }
 
@@ -40,34 +40,11 @@
         finish(null)
     }
 
+    /** Sends the statement to the next member. Finishes when there is none and no attempt is under way. */
     private fun sendToNext() {
-        val next = call.nextConnection() ?: return finish(unserved())
-        connection = next
-        operation = next.start(this)
-        next.send(
-            OperationRequest(
-                operation = operation,
-                start = call.start(TransactionKind.NONE),
-                kind = if (statement.access == Access.READ) StepKind.READ else StepKind.WRITE,
-                id = statement.id,
-                text = statement.text,
-                shape = statement.plan?.shape,
-                values = state.values,
-            ),
-        )
-    }
-
-    override fun onAnswer(answer: OperationAnswer) {
-        val from = connection ?: return
-        from.finish(operation)
-        call.forwarder.decidedBy(from, answer.configurationVersion)
-        if (answer.error == ErrorCode.UNAVAILABLE) sendToNext() else finish(RemoteCall.outcome(answer))
-    }
-
-    override fun onLost(mayHaveArrived: Boolean) {
-        mayHaveRun = mayHaveRun || mayHaveArrived
-        if (statement.access == Access.WRITE && mayHaveArrived) return finish(unserved())
-        sendToNext()
+        val connection = call.nextConnection()
+        if (connection != null) return Attempt(connection).also { attempts += it }.start()
+        if (attempts.isEmpty()) finish(unserved())
     }
 
     private fun onTimeout() {
@@ -77,29 +54,59 @@
 
     private fun unserved(): Outcome = when {
         !mayHaveRun -> Outcome.error(ErrorCode.UNAVAILABLE, "no host can serve, not run")
-        statement.access == Access.WRITE -> Outcome.error(
-            ErrorCode.OUTCOME_UNKNOWN,
-            "the serving host's answer was lost",
-        )
-        else -> Outcome.error(ErrorCode.TIMEOUT, "no answer in time")
+        isRead -> Outcome.error(ErrorCode.TIMEOUT, "no answer in time")
+        else -> Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the serving host's answer was lost")
     }
 
     private fun finish(outcome: Outcome?) {
         if (isFinished) return
         isFinished = true
         timer?.cancel()
-        if (outcome == null || mayHaveRun) drop()
+        attempts.forEach { it.drop() }
         if (outcome != null) done(outcome)
     }
 
-    /** Tells the member that the answer is not wanted any more. */
-    private fun drop() {
-        val request = OperationRequest(operation, null, StepKind.ROLLBACK, statement.id, "", null, null)
-        connection?.finish(operation, request)
-    }
+    /** The statement at one member. */
+    private inner class Attempt(private val connection: HostConnection) : OperationListener {
+        private val operation = connection.start(this)
+
+        fun start() {
+            connection.send(
+                OperationRequest(
+                    operation = operation,
+                    start = call.start(TransactionKind.NONE),
+                    kind = if (isRead) StepKind.READ else StepKind.WRITE,
+                    id = statement.id,
+                    text = statement.text,
+                    shape = statement.plan?.shape,
+                    values = state.values,
+                ),
+            )
+        }
+
+        override fun onAnswer(answer: OperationAnswer) {
+            attempts -= this
+            connection.finish(operation)
+            call.forwarder.decidedBy(connection, answer.configurationVersion)
+            if (answer.error == ErrorCode.UNAVAILABLE) sendToNext() else finish(RemoteCall.outcome(answer))
+        }
+
+        override fun onSilent() {
+            if (isRead) sendToNext()
+        }
+
+        override fun onLost(mayHaveArrived: Boolean) {
+            attempts -= this
+            mayHaveRun = mayHaveRun || mayHaveArrived
+            if (!isRead && mayHaveArrived) finish(unserved()) else sendToNext()
+        }
 
-    private companion object {
-        /** How much longer than the route's timeout an answer is waited for, since the serving host keeps the timeout. */
-        const val ANSWER_MARGIN_MILLIS = 60L
+        /** Tells the member that the answer is not wanted any more. */
+        fun drop() {
+            connection.finish(
+                operation,
+                OperationRequest(operation, null, StepKind.ROLLBACK, statement.id, "", null, null),
+            )
+        }
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
@@ -58,7 +58,7 @@
     private fun begin(step: Step) {
         current = step
         if (isOver) return deliver(Outcome.error(ErrorCode.ABORTED, "the connection to the serving host was lost"))
-        timer = timers.after(route.timeoutMillis + ANSWER_MARGIN_MILLIS) { fail(step, "no answer in time") }
+        timer = timers.after(route.timeoutMillis + RemoteCall.ANSWER_MARGIN_MILLIS) { fail(step, "no answer in time") }
         if (hasStarted) send(step, isFirst = false) else sendToNext(step)
     }
 
@@ -97,6 +97,8 @@
         deliver(RemoteCall.outcome(answer))
     }
 
+    override fun onSilent() = Unit
+
     override fun onLost(mayHaveArrived: Boolean) {
         val step = current
         if (step != null && !hasStarted && !mayHaveArrived) return sendToNext(step)
@@ -146,9 +148,4 @@
         val values: Map<String, String>,
         val done: (Outcome) -> Unit,
     )
-
-    private companion object {
-        /** How much longer than the route's timeout an answer is waited for, since the serving host keeps the timeout. */
-        const val ANSWER_MARGIN_MILLIS = 60L
-    }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -125,6 +125,34 @@
         assertEquals("digest", caller.answers.last().digest)
     }
 
+    @Test
+    fun `a read at a member that went dark is answered by another one within half a second`() {
+        val session = open()
+        fixture.ask(session, caller, write)
+        fixture.partitionedHosts += servingHost()
+
+        val answer = fixture.ask(session, caller, read, millis = 450)
+
+        assertNull(answer?.error)
+        assertEquals("digest", answer?.digest)
+    }
+
+    @Test
+    fun `a slow statement does not make its member avoided`() {
+        val session = open()
+        fixture.ask(session, caller, write)
+        primary.answersInMillis = 700
+        session.onStatement("w", Statement.Run(Access.WRITE, "WRITE 2 x"))
+        fixture.timers.advance(500)
+        val second = FakeCaller()
+        val other = fixture.open(second, host = forwarder)
+        other.onStatement("w3", Statement.Run(Access.WRITE, "WRITE 3 x"))
+        fixture.timers.advance(1_500)
+
+        assertEquals(setOf(servingHost()), fixture.links.requestCounts.keys)
+        assertNull(caller.answers.last().error)
+    }
+
     @Test
     fun `a write whose serving host is lost has an unknown outcome and is not sent again`() {
         val session = open()
