Placement of customers also where every host is a member; lost seats are refilled in 10 s

Cause: with sessions spread over all hosts, a small customer's rate was cut into shares below one token, and nearly each statement opened a connection. A dead member was removed 20 s after its last heartbeat, since the wait for newly listed members began only when it had been silent for 10 s. Reads were queued as if lagging replicas could take them. Change: operations are placed by customer in every fleet. The wait counts from the listing. The expected wait leaves out replicas that lag, so a burst that the primary can't run in time is refused at once. An unreachable primary is told to the members within 10 ms and examined on receipt: with one member using it, the others have to be told.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
@@ -29,10 +29,7 @@
  *   requests arrive at one host
  * @param startedAtMillis when the host started, from which on allowances refill
  */
-public class DemandShareLimiter(
-    private val startedAtMillis: Long,
-    private val baseFraction: () -> Double = { BASE_FRACTION },
-) {
+public class DemandShareLimiter(private val startedAtMillis: Long, private val baseFraction: Double = BASE_FRACTION) {
     private val states = HashMap<CustomerId, CustomerState>()
     private val reportByHost = HashMap<HostId, HostReport>()
     private val admittedByHost = HashMap<HostId, AdmittedCounts>()
@@ -115,11 +112,10 @@
         val silentCount = maxOf(0, hostCount - 1 - reportByHost.size)
         val aliveShare = equalFraction * (hostCount - silentCount)
         if (allPerSecond <= 0) return Shares(equalFraction, aliveShare - equalFraction * overdueCount, isSole = false)
-        val base = baseFraction()
-        val restShare = (1 - base) * aliveShare
+        val restShare = (1 - baseFraction) * aliveShare
         return Shares(
-            ownShare = base * equalFraction + restShare * state.reportedPerSecond / allPerSecond,
-            knownShare = aliveShare - base * equalFraction * overdueCount -
+            ownShare = baseFraction * equalFraction + restShare * state.reportedPerSecond / allPerSecond,
+            knownShare = aliveShare - baseFraction * equalFraction * overdueCount -
                 restShare * overduePerSecond / allPerSecond,
             isSole = othersPerSecond <= 0.0 && overdueCount == 0,
         )
--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/DemandShareLimiterTest.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/limits/DemandShareLimiterTest.kt
@@ -53,7 +53,7 @@
         private var singleBucketTokens = allowance.burst
         private var singleBucketFilledAtMillis = 0L
 
-        private fun limiter(startedAtMillis: Long) = DemandShareLimiter(startedAtMillis) { baseFraction }
+        private fun limiter(startedAtMillis: Long) = DemandShareLimiter(startedAtMillis, baseFraction)
 
         fun kill(host: Int) {
             downHosts += host
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
@@ -24,14 +24,10 @@
     private val groupRecords: GroupRecords,
     private val timers: TimerService,
 ) : AdmissionGate {
-    private val shares = DemandShareLimiter(startedAtMillis = timers.nowMillis(), baseFraction = ::baseFraction)
-
-    /** With forwarding hosts, all operations of a customer arrive at one member. */
-    private fun baseFraction(): Double = if (fleet.hasForwarders(timers.nowMillis())) {
-        DemandShareLimiter.PLACED_BASE_FRACTION
-    } else {
-        DemandShareLimiter.BASE_FRACTION
-    }
+    private val shares = DemandShareLimiter(
+        startedAtMillis = timers.nowMillis(),
+        baseFraction = DemandShareLimiter.PLACED_BASE_FRACTION,
+    )
 
     override fun admit(customer: Customer, isRepeated: Boolean): Admission {
         val nowMillis = timers.nowMillis()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -258,6 +258,9 @@
         val heartbeat = peer.lastHeartbeat ?: return
         limits.onReport(peer, heartbeat.demand, nowMillis)
         fetchIfNewer(peer.member, heartbeat.configurationVersion)
+        for (status in statuses) {
+            if (status.primary in status.unreachable) takeovers[DatabaseId(status.group)]?.tick()
+        }
         if (peer.sentNotBeforeMillis <= GroupRecords.NEVER) return
         for (status in statuses) {
             val group = groups[DatabaseId(status.group)] ?: continue
@@ -307,7 +310,7 @@
     private fun newGroup(id: DatabaseId): DatabaseGroup {
         val group = DatabaseGroup(id, self.zone, timers, dialer, groupRecords, log)
         group.onConfirmed = fleet::heartbeat
-        group.onPrimaryUnreachable = fleet::heartbeatSoon
+        group.onPrimaryUnreachable = { fleet.heartbeatSoon(Fleet.URGENT_HEARTBEAT_GAP_MILLIS) }
         takeovers[id] = Takeover(
             self = "${self.name}#${self.incarnation}",
             group = group,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -35,7 +35,6 @@
     private var rows: List<MemberRow> = emptyList()
     private val peersByName = sortedMapOf<String, Peer>()
     private val storeReader = StoreReader(timers, store, log, random, ::onRows)
-    private var queriedAtMillis = GroupRecords.NEVER
     private var tickedAtMillis = GroupRecords.NEVER
     private var isSeatReadScheduled = false
     private var wasRegistered = false
@@ -57,7 +56,6 @@
     private var heartbeatAtMillis = GroupRecords.NEVER
     private var isEarlyHeartbeatScheduled = false
     private val removalTriedAtMillis = HashMap<String, Long>()
-    private val firstSeenAtMillis = HashMap<Member, Long>()
 
     /** The other members, alive or not. */
     public val peers: Collection<Peer> get() = peersByName.values
@@ -65,9 +63,6 @@
     /** True once the store's rows have been read and include this host. */
     public val isRegistered: Boolean get() = rows.any { it.member == self }
 
-    /** True when a host without a seat has recently queried this one, so that the fleet is larger than its members. */
-    public fun hasForwarders(nowMillis: Long): Boolean = nowMillis - queriedAtMillis < FORWARDERS_MILLIS
-
     /** The number of members, this host included. */
     public val size: Int get() = peersByName.size + 1
 
@@ -141,15 +136,16 @@
         }
     }
 
-    /** Sends heartbeats ahead of schedule, but at least [MIN_HEARTBEAT_GAP_MILLIS] after the last ones. */
-    public fun heartbeatSoon() {
-        if (isEarlyHeartbeatScheduled || !isRegistered) return
-        val waitMillis = heartbeatAtMillis + MIN_HEARTBEAT_GAP_MILLIS - timers.nowMillis()
+    /** Sends heartbeats ahead of schedule, but at least [gapMillis] after the last ones. */
+    public fun heartbeatSoon(gapMillis: Long = MIN_HEARTBEAT_GAP_MILLIS) {
+        if (!isRegistered) return
+        val waitMillis = heartbeatAtMillis + gapMillis - timers.nowMillis()
         if (waitMillis <= 0) return heartbeat()
+        if (isEarlyHeartbeatScheduled) return
         isEarlyHeartbeatScheduled = true
         timers.after(waitMillis) {
             isEarlyHeartbeatScheduled = false
-            if (timers.nowMillis() - heartbeatAtMillis >= MIN_HEARTBEAT_GAP_MILLIS) heartbeat()
+            if (timers.nowMillis() - heartbeatAtMillis >= gapMillis) heartbeat()
         }
     }
 
@@ -171,8 +167,8 @@
 
     private fun answer(query: MemberQuery) {
         if (!isRegistered) return
-        queriedAtMillis = timers.nowMillis()
-        network.send(query.replyAddress, PeerMessage(self.name, self.incarnation, list = memberList(queriedAtMillis)))
+        val list = memberList(timers.nowMillis())
+        network.send(query.replyAddress, PeerMessage(self.name, self.incarnation, list = list))
     }
 
     private fun memberList(nowMillis: Long): MemberList {
@@ -251,7 +247,7 @@
         val before = if (hasReadMembers) peersByName.keys.toSet() else null
         peersByName.keys.retainAll(names)
         for (member in members) {
-            if (peersByName[member.name]?.member != member) peersByName[member.name] = Peer(member)
+            if (peersByName[member.name]?.member != member) peersByName[member.name] = Peer(member, timers.nowMillis())
         }
         val all = (if (isRegistered) names + self.name else names).sorted()
         membersHash = all.hashCode()
@@ -298,7 +294,7 @@
 
     private fun removeDeadMembers(nowMillis: Long) {
         if (!groupRecords.isCurrent(nowMillis) || rank(nowMillis) != 0 || aliveCount(nowMillis) < majority) return
-        for (peer in peersByName.values) {
+        for (peer in peersByName.values.toList()) {
             if (peer.isAlive(nowMillis, DEAD_MILLIS) || isNewlyListed(peer, nowMillis)) continue
             val name = peer.member.name
             val isAliveElsewhere = alivePeers(nowMillis).any { name in (it.lastHeartbeat?.heardMembers ?: emptyList()) }
@@ -313,8 +309,7 @@
         }
     }
 
-    private fun isNewlyListed(peer: Peer, nowMillis: Long): Boolean =
-        nowMillis - firstSeenAtMillis.getOrPut(peer.member) { nowMillis } < DEAD_MILLIS
+    private fun isNewlyListed(peer: Peer, nowMillis: Long): Boolean = nowMillis - peer.listedAtMillis < DEAD_MILLIS
 
     private fun heardMembers(nowMillis: Long): List<String> =
         peersByName.values.filter { it.isAlive(nowMillis, REPORTED_ALIVE_MILLIS) }.map { it.member.name }
@@ -332,6 +327,9 @@
         /** The least time between the last heartbeats and early ones. Below [HEARTBEAT_MILLIS], or none were early. */
         private const val MIN_HEARTBEAT_GAP_MILLIS = 60L
 
+        /** In place of [MIN_HEARTBEAT_GAP_MILLIS] for news that a takeover waits for. */
+        public const val URGENT_HEARTBEAT_GAP_MILLIS: Long = 10
+
         /** Heartbeats report the members whose last heartbeat is younger than this. */
         private const val REPORTED_ALIVE_MILLIS = 3_000L
 
@@ -342,9 +340,6 @@
          */
         private const val DEAD_MILLIS = 10_000L
 
-        /** How long after the last query of a host without a seat such hosts are taken to exist. */
-        private const val FORWARDERS_MILLIS = 15_000L
-
         /** A host without a seat reads the store when no member has answered for this time. */
         private const val SILENT_READ_MILLIS = 1_000L
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
@@ -4,8 +4,10 @@
  * Another host, and what its heartbeats reported.
  *
  * Not safe for use by several threads.
+ *
+ * @param listedAtMillis when this host first read of the member
  */
-public class Peer(public val member: Member) {
+public class Peer(public val member: Member, internal val listedAtMillis: Long) {
     /** The newest heartbeat by the peer's clock, or null before the first. */
     public var lastHeartbeat: Heartbeat? = null
         private set
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/Forwarder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/Forwarder.kt
@@ -9,8 +9,7 @@
  * Chooses the host on which an operation runs, and keeps the connections to the other hosts.
  *
  * All operations of a customer run on one member, so that its rate is counted in one place and few connections to each
- * target suffice and stay open. In a fleet in which every host is a member, each host
- * serves its own callers.
+ * target suffice and stay open.
  *
  * Not safe for use by several threads.
  */
@@ -36,7 +35,6 @@
     internal fun place(customerName: String, tried: Set<String> = emptySet()): ServingPlace {
         val nowMillis = timers.nowMillis()
         val isMember = fleet.isRegistered
-        if (isMember && !fleet.hasForwarders(nowMillis)) return ServingPlace.Here
         val others = if (isMember) fleet.readyPeers(nowMillis) else fleet.directory.usable(nowMillis)
         val left = others.filter { it.name !in tried && !isAvoided(it, nowMillis) } +
             listOfNotNull(self.takeIf { isMember && isSelfReady() })
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -155,9 +155,9 @@
         work.refuse(code, reason)
     }
 
+    /** How long [work] will probably wait, given the targets that may run it now: replicas that lag are left out. */
     private fun expectedWaitMillis(work: Work): Double {
-        val usable = targetsById.values.filter { it.unreachableSinceMillis == null && it.goneAtMillis == null }
-        val serving = if (work.needsPrimary) usable.filter { it === primary } else usable
+        val serving = usableTargets(work, placement(work), timers.nowMillis())
         val slots = serving.sumOf { it.slotCount }
         if (slots == 0) return 0.0
         return queue.countAhead(work) * serving.maxOf { it.serviceMillis } / slots
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeStore.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeStore.kt
@@ -16,6 +16,10 @@
     private var version = 0L
     var isDown = false
 
+    /** The number of calls, answered or not. */
+    var callCount = 0
+        private set
+
     /** The rows of the seats that are taken. */
     val seats: Collection<MemberRow> get() = rowsBySeat.values
 
@@ -23,6 +27,7 @@
     val written = ArrayList<GroupRecord>()
 
     override fun read(): Mono<ControlRows> = Mono.defer {
+        callCount++
         if (isDown) {
             Mono.error(StoreUnavailableException("down"))
         } else {
@@ -51,6 +56,7 @@
     }
 
     private fun change(apply: () -> StoreWrite): Mono<StoreWrite> = Mono.fromSupplier {
+        callCount++
         if (isDown) StoreWrite.Refused("down") else apply()
     }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -38,6 +38,12 @@
     var onPromoted: (FakeTarget) -> Unit = {}
     private var newestTerm = 1L
 
+    /** Paths between hosts on which datagrams are lost, as `from>to`. */
+    val cutPaths = HashSet<String>()
+
+    /** How many datagrams each host has sent or received, by its name. */
+    val datagramCounts = HashMap<String, Int>()
+
     /** Names of hosts that exchange no messages with other hosts. */
     val partitionedHosts = HashSet<String>()
 
@@ -87,7 +93,9 @@
     }
 
     private fun deliver(from: String, to: String, message: PeerMessage) {
-        if (from in partitionedHosts || to in partitionedHosts) return
+        datagramCounts.merge(from, 1, Int::plus)
+        datagramCounts.merge(to, 1, Int::plus)
+        if (from in partitionedHosts || to in partitionedHosts || "$from>$to" in cutPaths) return
         timers.after(1) { hostsByAddress[to]?.onPeerMessage(message) }
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/ReadRoutingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/ReadRoutingTest.kt
@@ -70,4 +70,32 @@
         assertEquals(ErrorCode.UNAVAILABLE, answer?.error?.code)
         assertTrue(fixture.targets.target("p").ran.isEmpty())
     }
+
+    @Test
+    fun `a burst of reads while every replica lags is refused at once beyond what the primary can run in time`() {
+        fixture.targets.target("p").answersInMillis = 300
+        val writer = fixture.open(FakeCaller())
+        repeat(30) {
+            writer.onStatement("w$it", write)
+            fixture.timers.advance(310)
+        }
+        val reader = fixture.open(FakeCaller(), database = "bounded")
+        repeat(6) {
+            reader.onStatement("r$it", read)
+            fixture.timers.advance(340)
+        }
+        val callers = List(30) { FakeCaller() }
+        val sessions = callers.map { fixture.open(it, database = "bounded") }
+        writer.onStatement("last", write)
+        reader.onStatement("last", read)
+        fixture.timers.advance(20)
+
+        sessions.forEach { it.onStatement("burst", read) }
+        fixture.timers.advance(5)
+
+        val refusedCount = callers.count { it.answers.lastOrNull()?.error?.code == ErrorCode.BUSY }
+        assertTrue(refusedCount >= 12, "$refusedCount of 30 reads refused at once")
+        fixture.timers.advance(2_000)
+        assertEquals(30, callers.count { it.answers.size == 1 })
+    }
 }
