--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerServer.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerServer.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.wire.BackendWriter
 import dev.cardamomlane.wire.FrameDecoders
 import dev.cardamomlane.wire.NettyMessageLink
+import dev.cardamomlane.wire.StartupFrameDecoder
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelOption
 import io.netty.handler.ssl.SslContext
@@ -45,6 +46,9 @@
     private inner class Transport(private val connection: Connection) : CallerTransport {
         override val offersTls: Boolean get() = tls != null
 
+        override val hasUnreadBytes: Boolean
+            get() = connection.channel().pipeline().get(StartupFrameDecoder::class.java)?.hasBufferedBytes == true
+
         override fun startTls() {
             val channel = connection.channel()
             val handler = checkNotNull(tls) { "TLS is not configured" }.newHandler(channel.alloc())
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerStartup.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerStartup.kt
@@ -36,6 +36,7 @@
         if (established != null) return closeIfMalformed { established.onFrame(frame) }
         closeIfMalformed {
             try {
+                if (!link.isOpen) return
                 if (request == null) onStartup(StartupMessage.decode(frame)) else onPassword(frame)
             } finally {
                 frame.release()
@@ -86,6 +87,8 @@
             link.send(Unpooled.wrappedBuffer(ENCRYPTION_REFUSED))
             return
         }
+        // What follows the request unencrypted may come from somebody between the caller and this host.
+        if (transport.hasUnreadBytes) return fail(Refusals.malformed("data before the TLS handshake"))
         isEncrypted = true
         transport.startTls()
     }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerTransport.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerTransport.kt
@@ -5,6 +5,9 @@
     /** Whether a certificate is configured. */
     val offersTls: Boolean
 
+    /** True when the caller has sent more than the message that is being handled. */
+    val hasUnreadBytes: Boolean
+
     /** Accepts the caller's request for TLS and encrypts everything after that answer. */
     fun startTls()
 
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/StopAndStallTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/path/StopAndStallTest.kt
@@ -73,6 +73,22 @@
         }
     }
 
+    @Test
+    fun `plaintext in the same packet as the TLS request ends the connection without a handshake`() {
+        val certificate = PathFixture.resource("test-certificate.pem")
+        val key = PathFixture.resource("test-key.pem")
+        PathFixture("tlsCertificateFile: $certificate, tlsKeyFile: $key").use { path ->
+            Socket("127.0.0.1", path.callerPort(0)).use { socket ->
+                val packet = Unpooled.buffer().writeInt(TLS_REQUEST_BYTES).writeInt(TLS_REQUEST_CODE)
+                StartupMessage.writeSession(packet, mapOf("user" to "press", "database" to "orders-1"))
+                send(socket.getOutputStream(), packet)
+
+                assertEquals('E'.code, socket.getInputStream().read())
+                assertTrue(readToEnd(socket) > 0)
+            }
+        }
+    }
+
     private fun runUntilRefused(connection: Connection, caller: Int, started: CountDownLatch): String {
         try {
             connection.createStatement().use { statement ->
@@ -129,6 +145,8 @@
     }
 
     private companion object {
+        const val TLS_REQUEST_BYTES = 8
+        const val TLS_REQUEST_CODE = 80_877_103
         const val CALLERS = 8
         const val ROWS = 64
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -85,6 +85,7 @@
             val dueAfterMillis = when {
                 record.holder == self -> 0
                 fleet.isHolderGone(record.holder, nowMillis) -> GONE_HOLDER_MILLIS
+                mustQueryAllReplicas() -> STALLED_HOLDER_MILLIS + ALL_REPLICAS_MILLIS
                 else -> STALLED_HOLDER_MILLIS
             }
             if (stalledMillis >= dueAfterMillis) claim("stalled takeover", record.isPlanned, nowMillis)
@@ -369,10 +370,7 @@
         /** How long a replica may take to catch up with an old primary that still answers, before that one is kept. */
         const val CATCH_UP_MILLIS = 700L
 
-        /**
-         * How long a takeover that needs every replica waits for the ones that don't answer. Above
-         * [STALLED_HOLDER_MILLIS], so another host that is alive claims the record again before the wait ends.
-         */
+        /** How long a takeover that needs every replica waits for the ones that don't answer. */
         const val ALL_REPLICAS_MILLIS = 8_000L
 
         /**
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -26,7 +26,12 @@
  *
  * @param settleMillis how long the hosts run before the constructor returns
  */
-class HostFixture(hostCount: Int = 1, settleMillis: Long = 1_000, isConfigured: Boolean = true) {
+class HostFixture(
+    hostCount: Int = 1,
+    settleMillis: Long = 1_000,
+    isConfigured: Boolean = true,
+    private val isReplicatedBeforeAcknowledged: Boolean = false,
+) {
     val timers = ManualTimerService()
     val targets = FakeTargets(timers)
     val store = FakeStore()
@@ -134,7 +139,9 @@
         version = version,
         routes = databases.associateWith(::route).toImmutableMap(),
         customersByKey = mapOf(key to Customer(CustomerId("press"), Allowance(1_000.0, 1_000.0))).toImmutableMap(),
-        groups = mapOf(DatabaseId("g") to GroupPolicy(DatabaseId("g"), 40, false)).toImmutableMap(),
+        groups = mapOf(
+            DatabaseId("g") to GroupPolicy(DatabaseId("g"), 40, isReplicatedBeforeAcknowledged),
+        ).toImmutableMap(),
         transactionIdleMillis = 3_000,
     )
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -59,6 +59,48 @@
         assertTrue(many.store.written.isEmpty())
     }
 
+    @Test
+    fun `a takeover that waits for a silent replica is not claimed by another host meanwhile`() {
+        val fixture = HostFixture(hostCount = 3, isReplicatedBeforeAcknowledged = true)
+        useEverywhere(fixture)
+        fixture.timers.advance(200)
+        crash("p", fixture)
+        crash("r2", fixture)
+        useEverywhere(fixture)
+
+        fixture.timers.advance(12_000)
+
+        assertEquals(listOf("r1" to 1L), fixture.promotions)
+    }
+
+    @Test
+    fun `a heartbeat of an earlier incarnation that arrives late changes nothing`() {
+        val peer = fixture.hosts[1]
+        val late = PeerMessage("host-1", incarnation = 0, heartbeat = heartbeat(configurationVersion = 99))
+        var fetched = 0
+        fixture.hosts[0].onNewerConfiguration = { _, _ -> fetched++ }
+
+        fixture.hosts[0].onPeerMessage(late)
+        fixture.timers.advance(500)
+
+        assertEquals(0, fetched)
+        assertTrue(peer.isReady)
+    }
+
+    private fun heartbeat(configurationVersion: Long) = Heartbeat(
+        sentAtMillis = 1_000_000,
+        answeredSentAtMillis = -1,
+        answeredIncarnation = 0,
+        answeredHeldMillis = 0,
+        proofAgeMillis = 0,
+        membersHash = 0,
+        configurationVersion = configurationVersion,
+        isReady = true,
+        heardMembers = emptyList(),
+        groups = emptyList(),
+        demand = emptyList(),
+    )
+
     @Test
     fun `hosts report an unreachable primary to each other at once`() {
         val waitsMillis = (0..240 step 40).map(::millisToClaim)
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/FrameDecoders.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/FrameDecoders.kt
@@ -17,7 +17,7 @@
     public const val MAX_STARTUP_BYTES: Int = 10_000
 
     /** Splits startup messages, which have no type byte. */
-    public fun startup(): ChannelHandler = LengthFieldBasedFrameDecoder(MAX_STARTUP_BYTES, 0, 4, -4, 0)
+    public fun startup(): StartupFrameDecoder = StartupFrameDecoder(MAX_STARTUP_BYTES)
 
     /** Splits typed messages of at most [maxBytes], header included. */
     public fun typed(maxBytes: Int): ChannelHandler {
