A leaving member's demand counts as none; configurations are fetched from members later

Cause: after a planned stop the demand that a member had reported halved its customers' shares at their new member for a second. Change: the demand of a member that takes no new operations is zero.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
@@ -11,6 +11,7 @@
 import dev.cardamomlane.engine.fleet.CustomerDemand
 import dev.cardamomlane.engine.fleet.Fleet
 import dev.cardamomlane.engine.fleet.GroupRecords
+import dev.cardamomlane.engine.fleet.Heartbeat
 import dev.cardamomlane.engine.fleet.Peer
 import dev.cardamomlane.engine.session.AdmissionGate
 
@@ -52,13 +53,17 @@
         }
     }
 
-    /** Takes the demand that the newest heartbeat of [peer] reports. */
-    fun onReport(peer: Peer, demand: List<CustomerDemand>, nowMillis: Long) {
+    /**
+     * Takes the demand that the newest heartbeat of [peer] reports. One that takes no new operations has none: its
+     * customers are already served elsewhere.
+     */
+    fun onReport(peer: Peer, heartbeat: Heartbeat, nowMillis: Long) {
         shares.onReport(
             host = HostId(peer.member.name),
             incarnation = peer.member.incarnation,
-            usages = demand.associate {
-                CustomerId(it.customer) to CustomerUsage(it.perSecond.toDouble(), it.admittedCount)
+            usages = heartbeat.demand.associate {
+                val perSecond = if (heartbeat.isReady) it.perSecond.toDouble() else 0.0
+                CustomerId(it.customer) to CustomerUsage(perSecond, it.admittedCount)
             },
             nowMillis = nowMillis,
         )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -63,6 +63,7 @@
     private var entries: List<TargetEntry> = emptyList()
     private var memberNames: Set<String> = emptySet()
     private var hasSeat = false
+    private var isFetchScheduled = false
     private val waitingSessions = ArrayList<CallerSession>()
     private var stoppingSinceMillis: Long? = null
     private var isClosing = false
@@ -111,11 +112,14 @@
         forwarder.onNewerConfiguration = ::fetchIfNewer
     }
 
-    /** A host without a seat waits a moment, since its own copy of the configuration usually arrives by then. */
+    /** Waits a moment before a newer configuration is fetched, since this host's own copy usually arrives by then. */
     private fun fetchIfNewer(from: Member, version: Long) {
-        if (version <= configuration.version) return
-        if (fleet.isRegistered) return onNewerConfiguration(from, version)
-        timers.after(FETCH_DELAY_MILLIS) { if (version > configuration.version) onNewerConfiguration(from, version) }
+        if (version <= configuration.version || isFetchScheduled) return
+        isFetchScheduled = true
+        timers.after(if (fleet.isRegistered) MEMBER_FETCH_DELAY_MILLIS else FETCH_DELAY_MILLIS) {
+            isFetchScheduled = false
+            if (version > configuration.version) onNewerConfiguration(from, version)
+        }
     }
 
     /** Takes over a connection that another host opened, and returns the listener for its events. */
@@ -256,7 +260,7 @@
 
     override fun onGroupStatuses(peer: Peer, statuses: List<GroupStatus>, nowMillis: Long) {
         val heartbeat = peer.lastHeartbeat ?: return
-        limits.onReport(peer, heartbeat.demand, nowMillis)
+        limits.onReport(peer, heartbeat, nowMillis)
         fetchIfNewer(peer.member, heartbeat.configurationVersion)
         for (status in statuses) {
             if (status.primary in status.unreachable) takeovers[DatabaseId(status.group)]?.tick()
@@ -335,8 +339,9 @@
         /** The most sessions that are closed at each heartbeat while this host is cut off. */
         private const val CUT_OFF_CLOSE_COUNT = 48
 
-        /** How long a host without a seat waits for a newer configuration before it fetches it from a member. */
-        private const val FETCH_DELAY_MILLIS = 300L
+        /** How long a member, or another host, waits for a newer configuration before it fetches it from a member. */
+        private const val MEMBER_FETCH_DELAY_MILLIS = 150L
+        private const val FETCH_DELAY_MILLIS = 900L
 
         /** How many members look out for a new configuration at short intervals. */
         private const val CLOSE_WATCHERS = 3
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -144,7 +144,7 @@
         private const val NO_POSITION = -1L
 
         /** How long an operation waits for the configuration that the other host has used. */
-        private const val MAX_CONFIGURATION_WAIT_MILLIS = 400L
+        private const val MAX_CONFIGURATION_WAIT_MILLIS = 600L
         private const val CONFIGURATION_POLL_MILLIS = 20L
 
         /** Answers a step of an operation that this host does not know any more, whose transaction is rolled back. */
