--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -42,7 +42,7 @@
     private val groupRecords = fleet.groupRecords
     private val trigger = ReplacementTrigger(group, fleet, customerName)
     private val demotions = Demotions(group, customerName)
-    private var phase: Phase = Phase.Watching
+    private var phase: TakeoverPhase = TakeoverPhase.Watching
     private var observedSinceMillis = 0L
     private var observedVersion = -1L
     private var plannedNotBeforeMillis = GroupRecords.NEVER
@@ -56,12 +56,12 @@
         observeRecord(nowMillis)
         demotions.retryDue(nowMillis)
         when (val now = phase) {
-            is Phase.Watching -> watch(nowMillis)
-            is Phase.Claiming -> Unit
-            is Phase.Draining -> awaitDrain(now, nowMillis)
-            is Phase.Querying -> queryTargets(now, nowMillis)
-            is Phase.Promoting -> awaitPromotion(now, nowMillis)
-            is Phase.Publishing -> publish(now, nowMillis)
+            is TakeoverPhase.Watching -> watch(nowMillis)
+            is TakeoverPhase.Claiming -> Unit
+            is TakeoverPhase.Draining -> awaitDrain(now, nowMillis)
+            is TakeoverPhase.Querying -> queryTargets(now, nowMillis)
+            is TakeoverPhase.Promoting -> awaitPromotion(now, nowMillis)
+            is TakeoverPhase.Publishing -> publish(now, nowMillis)
         }
     }
 
@@ -71,9 +71,9 @@
             observedVersion = record.version
             observedSinceMillis = nowMillis
             val isOurs = record.isChanging && record.holder == self
-            if (!isOurs && phase !is Phase.Watching && phase !is Phase.Claiming) {
+            if (!isOurs && phase !is TakeoverPhase.Watching && phase !is TakeoverPhase.Claiming) {
                 log.event("takeover", "superseded", "group", group.id.value, "fence", record.fence)
-                phase = Phase.Watching
+                phase = TakeoverPhase.Watching
             }
         }
     }
@@ -116,7 +116,7 @@
             "primary", primaryId.value, "is_planned", isPlanned,
             "proof_age_ms", nowMillis - groupRecords.provedAtMillis,
         )
-        phase = Phase.Claiming
+        phase = TakeoverPhase.Claiming
         store.writeRecord(record, expectedVersion = old?.version ?: 0).subscribe(
             { onClaim(it, record) },
             { failure -> abandonClaim("claim failed: ${failure.message}") },
@@ -129,18 +129,18 @@
         groupRecords.learn(listOf(claimed), GroupRecords.NEVER)
         observedVersion = claimed.version
         notRunning.clear()
-        phase = Phase.Draining(claimed, claimedAtMillis = timers.nowMillis())
+        phase = TakeoverPhase.Draining(claimed, claimedAtMillis = timers.nowMillis())
         fleet.heartbeat()
     }
 
     private fun abandonClaim(reason: String) {
         log.event("takeover", "stopped", "group", group.id.value, "reason", reason)
-        phase = Phase.Watching
+        phase = TakeoverPhase.Watching
         plannedNotBeforeMillis = timers.nowMillis() + FAILED_CLAIM_PAUSE_MILLIS
         fleet.refresh()
     }
 
-    private fun awaitDrain(now: Phase.Draining, nowMillis: Long) {
+    private fun awaitDrain(now: TakeoverPhase.Draining, nowMillis: Long) {
         val isMemberListNew = fleet.rowsSentAtMillis >= now.claimedAtMillis
         if (!isMemberListNew) fleet.refresh()
         val isConfirmed = isMemberListNew && group.hasConfirmed(now.record.version) && fleet.peers.all { peer ->
@@ -148,7 +148,7 @@
         }
         if (!isConfirmed && !hasOldProofExpired(now, nowMillis)) return
         log.event("takeover", "drained", "group", group.id.value, "is_confirmed", isConfirmed)
-        phase = Phase.Querying(now.record, startedAtMillis = nowMillis)
+        phase = TakeoverPhase.Querying(now.record, startedAtMillis = nowMillis)
     }
 
     /**
@@ -169,7 +169,7 @@
      * True when all proof that hosts got before they knew of the claim has expired. They can't have got such proof from
      * the store after the claim, nor from heartbeats of a majority after [Fleet.blockingCount] members knew of it.
      */
-    private fun hasOldProofExpired(now: Phase.Draining, nowMillis: Long): Boolean {
+    private fun hasOldProofExpired(now: TakeoverPhase.Draining, nowMillis: Long): Boolean {
         val informed = 1 + fleet.peers.count { (it.groupStatus(group.id.value)?.version ?: 0) >= now.record.version }
         if (now.informedAtMillis == null && informed >= fleet.blockingCount) now.informedAtMillis = nowMillis
         val informedAtMillis = now.informedAtMillis ?: (now.claimedAtMillis + TOO_FEW_ALIVE_MILLIS)
@@ -177,7 +177,7 @@
             maxOf(now.claimedAtMillis, informedAtMillis) + GroupRecords.MAX_AGE_MILLIS + PROOF_MARGIN_MILLIS
     }
 
-    private fun queryTargets(now: Phase.Querying, nowMillis: Long) {
+    private fun queryTargets(now: TakeoverPhase.Querying, nowMillis: Long) {
         if (isCallUnderWay) return
         val customer = customerName() ?: return
         val isLate = nowMillis - now.startedAtMillis > REACHABLE_ONLY_MILLIS
@@ -198,7 +198,7 @@
         }
     }
 
-    private fun decide(now: Phase.Querying, answers: Map<Target, TargetStatus>) {
+    private fun decide(now: TakeoverPhase.Querying, answers: Map<Target, TargetStatus>) {
         val record = now.record
         val nowMillis = timers.nowMillis()
         val promoted = answers.entries.filter { (target, status) ->
@@ -231,7 +231,7 @@
     private fun giveUp(record: GroupRecord, old: Target, reason: String) {
         log.event("takeover", "given_up", "group", group.id.value, "reason", reason)
         plannedNotBeforeMillis = timers.nowMillis() + GIVEN_UP_PAUSE_MILLIS
-        phase = Phase.Publishing(record, old.entry.id, record.term)
+        phase = TakeoverPhase.Publishing(record, old.entry.id, record.term)
     }
 
     private fun promote(record: GroupRecord, target: Target, status: TargetStatus, nowMillis: Long) {
@@ -243,7 +243,7 @@
             "takeover", "promote", "group", group.id.value, "target", target.entry.id.value, "fence", record.fence,
             "received", status.received, "term", status.term,
         )
-        phase = Phase.Promoting(record, target, sentAtMillis = nowMillis)
+        phase = TakeoverPhase.Promoting(record, target, sentAtMillis = nowMillis)
         promotion.promote(group.id, target.entry.id, record.holder, record.fence).subscribe(
             { outcome -> onPromotion(target, outcome) },
             { failure -> log.event("takeover", "promote_unanswered", "reason", failure.message) },
@@ -253,14 +253,14 @@
     private fun onPromotion(target: Target, outcome: PromotionOutcome) {
         log.event("takeover", "promote_answer", "group", group.id.value, "outcome", outcome)
         val now = phase
-        if (outcome != PromotionOutcome.NOT_RUNNING || now !is Phase.Promoting || now.target !== target) return
+        if (outcome != PromotionOutcome.NOT_RUNNING || now !is TakeoverPhase.Promoting || now.target !== target) return
         notRunning += target.entry.id
-        phase = Phase.Querying(now.record, startedAtMillis = timers.nowMillis())
+        phase = TakeoverPhase.Querying(now.record, startedAtMillis = timers.nowMillis())
     }
 
-    private fun awaitPromotion(now: Phase.Promoting, nowMillis: Long) {
+    private fun awaitPromotion(now: TakeoverPhase.Promoting, nowMillis: Long) {
         if (nowMillis - now.sentAtMillis > PROMOTION_TIMEOUT_MILLIS) {
-            phase = Phase.Querying(now.record, startedAtMillis = nowMillis)
+            phase = TakeoverPhase.Querying(now.record, startedAtMillis = nowMillis)
             return
         }
         val customer = customerName()
@@ -273,11 +273,11 @@
     }
 
     private fun publishAs(record: GroupRecord, target: Target, term: Long) {
-        phase = Phase.Publishing(record, target.entry.id, term)
-        publish(phase as Phase.Publishing, timers.nowMillis())
+        phase = TakeoverPhase.Publishing(record, target.entry.id, term)
+        publish(phase as TakeoverPhase.Publishing, timers.nowMillis())
     }
 
-    private fun publish(now: Phase.Publishing, nowMillis: Long) {
+    private fun publish(now: TakeoverPhase.Publishing, nowMillis: Long) {
         if (isCallUnderWay || nowMillis < now.notBeforeMillis) return
         isCallUnderWay = true
         val record = now.record.copy(version = 0, primary = now.primary, isChanging = false, term = now.term)
@@ -288,13 +288,13 @@
         now.notBeforeMillis = nowMillis + PUBLISH_RETRY_MILLIS
     }
 
-    private fun onPublished(now: Phase.Publishing, record: GroupRecord, outcome: StoreWrite) {
+    private fun onPublished(now: TakeoverPhase.Publishing, record: GroupRecord, outcome: StoreWrite) {
         if (outcome !is StoreWrite.Applied) {
             log.event("takeover", "publish_unsure", "group", group.id.value, "outcome", outcome)
             fleet.refresh()
             return
         }
-        phase = Phase.Watching
+        phase = TakeoverPhase.Watching
         observedVersion = outcome.version
         if (now.primary != now.record.primary) demotions.add(now.record.primary, now.term, timers.nowMillis())
         demotions.remove(now.primary)
@@ -306,31 +306,6 @@
         fleet.heartbeat()
     }
 
-    private sealed interface Phase {
-        /** No takeover by this host is under way. */
-        data object Watching : Phase
-
-        /** The claim was sent to the store. */
-        data object Claiming : Phase
-
-        /** Waits until no host can acknowledge a write of the old primary any more. */
-        class Draining(val record: GroupRecord, val claimedAtMillis: Long) : Phase {
-            /** When [Fleet.blockingCount] members were first known to know [record], or null. */
-            var informedAtMillis: Long? = null
-        }
-
-        /** Queries the targets until one can be promoted or the old primary is kept. */
-        class Querying(val record: GroupRecord, val startedAtMillis: Long) : Phase
-
-        /** The promotion of [target] was ordered and is not known to be done. */
-        class Promoting(val record: GroupRecord, val target: Target, val sentAtMillis: Long) : Phase
-
-        /** Writes [primary] to the record until the store confirms it. */
-        class Publishing(val record: GroupRecord, val primary: TargetId, val term: Long) : Phase {
-            var notBeforeMillis = GroupRecords.NEVER
-        }
-    }
-
     private companion object {
         /** The old primary in the record when neither an older record nor the targets name one. */
         val UNKNOWN_TARGET = TargetId("-")
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverPhase.kt
@@ -0,0 +1,31 @@
+package dev.cardamomlane.engine.fleet
+
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.engine.group.GroupRecord
+import dev.cardamomlane.engine.target.Target
+
+/** How far a takeover by this host has come. */
+internal sealed interface TakeoverPhase {
+    /** No takeover by this host is under way. */
+    data object Watching : TakeoverPhase
+
+    /** The claim was sent to the store. */
+    data object Claiming : TakeoverPhase
+
+    /** Waits until no host can acknowledge a write of the old primary any more. */
+    class Draining(val record: GroupRecord, val claimedAtMillis: Long) : TakeoverPhase {
+        /** When [Fleet.blockingCount] members were first known to know [record], or null. */
+        var informedAtMillis: Long? = null
+    }
+
+    /** Queries the targets until one can be promoted or the old primary is kept. */
+    class Querying(val record: GroupRecord, val startedAtMillis: Long) : TakeoverPhase
+
+    /** The promotion of [target] was ordered and is not known to be done. */
+    class Promoting(val record: GroupRecord, val target: Target, val sentAtMillis: Long) : TakeoverPhase
+
+    /** Writes [primary] to the record until the store confirms it. */
+    class Publishing(val record: GroupRecord, val primary: TargetId, val term: Long) : TakeoverPhase {
+        var notBeforeMillis = GroupRecords.NEVER
+    }
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -31,8 +31,7 @@
 ) : TargetListener {
     private val targetsById = LinkedHashMap<TargetId, Target>()
     private val queue = WorkQueue()
-    private val positionHistory = PositionHistory()
-    private var historyPrimary: TargetId? = null
+    private val positions = PrimaryPositions()
     private var probedAtMillis = GroupRecords.NEVER
     private var isStartingQueued = false
 
@@ -71,7 +70,7 @@
         }
 
     /** The newest position of the primary, or null. Other hosts may use it to estimate how old a replica's data is. */
-    public val newestSample: PositionSample? get() = positionHistory.newest
+    public val newestSample: PositionSample? get() = positions.newest
 
     /**
      * Replaces the list of targets by [entries]. A target that is missing gets no new work, and is dropped later.
@@ -243,7 +242,7 @@
     private fun isKnownBehind(target: Target, position: LogPosition, nowMillis: Long): Boolean {
         val applied = target.appliedPosition ?: return false
         if (applied >= position) return false
-        val lagMillis = positionHistory.lagMillis(applied, nowMillis)
+        val lagMillis = positions.lagMillis(applied, nowMillis)
         val recheckMillis = (lagMillis / LAG_RECHECK_DIVISOR).coerceIn(MIN_LAG_RECHECK_MILLIS, MAX_LAG_RECHECK_MILLIS)
         return nowMillis - target.appliedAtMillis < recheckMillis
     }
@@ -258,22 +257,11 @@
     private fun placement(work: Work): Placement {
         if (work.needsPrimary || work.route.consistency == Consistency.LATEST) return Placement.Primary
         val sinceMillis = work.arrivedAtMillis - work.route.maxStaleMillis + STALE_MARGIN_MILLIS
-        val covering = positionHistory.covering(sinceMillis) ?: return Placement.Primary
-        val ownPosition = work.ownPosition?.takeIf { work.route.consistency == Consistency.SESSION }
-            ?.let { inCurrentTerm(it) ?: return Placement.Primary }
-        val position = if (ownPosition != null && ownPosition > covering) ownPosition else covering
+        val ownCommit = work.ownPosition?.takeIf { work.route.consistency == Consistency.SESSION }
+        val position = positions.required(sinceMillis, ownCommit) ?: return Placement.Primary
         return Placement.AnyAtPosition(position)
     }
 
-    /**
-     * Replaces a position of an earlier term by the newest known one, since a takeover may have discarded part of the
-     * old log. Returns null when none is known.
-     */
-    private fun inCurrentTerm(position: LogPosition): LogPosition? {
-        val newest = positionHistory.newest?.position ?: return null
-        return if (position.term < newest.term) newest else position
-    }
-
     override fun onCapacity(target: Target) {
         startQueued()
     }
@@ -284,24 +272,14 @@
 
     override fun onPosition(target: Target, sentAtMillis: Long, position: LogPosition) {
         if (target !== primary || !isRecordStable(timers.nowMillis())) return
-        if (target.entry.id != historyPrimary) {
-            positionHistory.clear()
-            historyPrimary = target.entry.id
-        }
         val record = records.record(id)
-        if (record != null && position.term < record.term) return
-        positionHistory.add(PositionSample(sentAtMillis, position))
+        val isOfOlderTerm = record != null && position.term < record.term
+        positions.add(target.entry.id, PositionSample(sentAtMillis, position).takeIf { !isOfOlderTerm })
     }
 
     /** Adds a position of [primaryId] that another host received. Ignored unless it is this host's primary too. */
     public fun learnPosition(primaryId: TargetId, sample: PositionSample) {
-        val target = primary ?: return
-        if (target.entry.id != primaryId) return
-        if (historyPrimary != primaryId) {
-            positionHistory.clear()
-            historyPrimary = primaryId
-        }
-        positionHistory.add(sample)
+        if (primary?.entry?.id == primaryId) positions.add(primaryId, sample)
     }
 
     /** Registers a write or commit that was sent; [writeResolved] must follow. */
@@ -361,7 +339,7 @@
             confirmIfDrained()
             return
         }
-        if (record.primary != historyPrimary) positionHistory.clear()
+        positions.clearUnlessOf(record.primary)
         probedAtMillis = GroupRecords.NEVER
         abandonWrites(record)
         probePosition(timers.nowMillis())
@@ -408,7 +386,7 @@
 
     private fun probePosition(nowMillis: Long) {
         if (nowMillis - submittedAtMillis > IN_USE_MILLIS || nowMillis - probedAtMillis < PROBE_INTERVAL_MILLIS) return
-        val newestMillis = positionHistory.newest?.sentAtMillis ?: GroupRecords.NEVER
+        val newestMillis = positions.newest?.sentAtMillis ?: GroupRecords.NEVER
         if (nowMillis - newestMillis < SAMPLE_REFRESH_MILLIS) return
         val target = primary ?: return
         val customer = controlCustomer ?: return
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/PrimaryPositions.kt
@@ -0,0 +1,54 @@
+package dev.cardamomlane.engine.group
+
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.TargetId
+
+/**
+ * The recent log positions of one group's primary, and what a read requires of a replica. Positions of another primary
+ * than the last one replace all others.
+ *
+ * Not safe for use by several threads.
+ */
+internal class PrimaryPositions {
+    private val history = PositionHistory()
+    private var primary: TargetId? = null
+
+    /** The newest position, or null when none is known. */
+    val newest: PositionSample? get() = history.newest
+
+    /** Adds a [sample] of [from], which is the primary now; null only says that it is. */
+    fun add(from: TargetId, sample: PositionSample?) {
+        if (from != primary) {
+            history.clear()
+            primary = from
+        }
+        if (sample != null) history.add(sample)
+    }
+
+    /** Forgets the positions, unless they are of [newPrimary]. */
+    fun clearUnlessOf(newPrimary: TargetId) {
+        if (newPrimary != primary) history.clear()
+    }
+
+    /** How long ago the primary was first seen beyond [position], in milliseconds, or 0 when it was not. */
+    fun lagMillis(position: LogPosition, nowMillis: Long): Long = history.lagMillis(position, nowMillis)
+
+    /**
+     * The position that a target must have applied to show every write acknowledged before [sinceMillis], and
+     * [ownCommit] if given; null when no position is known that suffices.
+     */
+    fun required(sinceMillis: Long, ownCommit: LogPosition?): LogPosition? {
+        val covering = history.covering(sinceMillis) ?: return null
+        val own = ownCommit?.let { inCurrentTerm(it) ?: return null }
+        return if (own != null && own > covering) own else covering
+    }
+
+    /**
+     * Replaces a position of an earlier term by the newest known one, since a takeover may have discarded part of the
+     * old log. Returns null when none is known.
+     */
+    private fun inCurrentTerm(position: LogPosition): LogPosition? {
+        val newest = history.newest?.position ?: return null
+        return if (position.term < newest.term) newest else position
+    }
+}
