engine: the start of an operation stands in a class of its own

CallerSession had grown to 450 lines with the choice between this host and another one. OperationStarter looks up route and key, chooses the host and takes the token; the session keeps its state and answers. Behaviour is as before; the engine's tests pass unchanged.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -2,13 +2,7 @@
 
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerSubscription
-import dev.cardamomlane.core.limits.Admission
-import dev.cardamomlane.core.limits.RefusalReason
-import dev.cardamomlane.engine.config.Customer
 import dev.cardamomlane.engine.config.Route
-import dev.cardamomlane.engine.forward.ServingPlace
-import dev.cardamomlane.engine.group.DatabaseGroup
-import dev.cardamomlane.engine.group.Work
 import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.CallerAnswer
 import dev.cardamomlane.engine.statement.ErrorCode
@@ -35,8 +29,9 @@
     private val link: CallerLink,
     private val database: String,
     private val key: String?,
-    private val isForwarded: Boolean = false,
+    isForwarded: Boolean = false,
 ) {
+    private val operations = OperationStarter(services, database, key, isForwarded)
     private val values = LinkedHashMap<String, String>()
     private val prepared = HashMap<String, PreparedPlan>()
     private val pending = ArrayDeque<IncomingStatement>()
@@ -198,31 +193,15 @@
     }
 
     private fun begin(incoming: IncomingStatement, statement: Statement.Begin) {
-        withRoute(incoming) { route, customer ->
-            if (isRemote(customer)) {
-                open(incoming, RemoteTransaction(remoteCall(route, customer), statement.isReadOnly))
-            } else {
-                withGroup(incoming, route) { group ->
-                    admit(incoming, route, customer) {
-                        val execution = TransactionExecution(
-                            services,
-                            group,
-                            route,
-                            statement.isReadOnly,
-                            nameOf(customer),
-                            lastCommit,
-                            incoming.arrivedAtMillis,
-                        )
-                        open(incoming, execution)
-                    }
-                }
-            }
-        }
-    }
-
-    private fun open(incoming: IncomingStatement, execution: OpenTransaction) {
-        transaction = Transaction(execution, failure = null)
-        succeed(incoming)
+        operations.startTransaction(
+            context(incoming),
+            statement.isReadOnly,
+            onStarted = { execution ->
+                transaction = Transaction(execution, failure = null)
+                succeed(incoming)
+            },
+            onRefused = { refuse(incoming, it) },
+        )
     }
 
     private fun run(incoming: IncomingStatement, statement: ResolvedStatement, open: Transaction?) {
@@ -233,37 +212,18 @@
             }
             return
         }
-        withRoute(incoming) { route, customer ->
-            if (isRemote(customer)) {
-                startRemoteStatement(incoming, statement, route, customer)
-            } else {
-                withGroup(incoming, route) { group ->
-                    admit(incoming, route, customer) { startStatement(incoming, statement, route, group, customer) }
-                }
-            }
-        }
+        operations.startStatement(
+            context(incoming),
+            statement,
+            stateFor(statement),
+            onStarted = { runningStatement = it },
+            onRefused = { refuse(incoming, it) },
+            done = { route, outcome -> onStatementOutcome(incoming, statement, route, outcome) },
+        )
     }
 
-    private fun isRemote(customer: Customer?): Boolean = !isForwarded &&
-        services.forwarder.place(nameOf(customer)) !is ServingPlace.Here
-
-    private fun remoteCall(route: Route, customer: Customer?) =
-        RemoteCall(services, route, database, key, nameOf(customer), lastCommit)
-
-    private fun nameOf(customer: Customer?): String = customer?.id?.value ?: ANONYMOUS_CUSTOMER
-
-    private fun startRemoteStatement(
-        incoming: IncomingStatement,
-        statement: ResolvedStatement,
-        route: Route,
-        customer: Customer?,
-    ) {
-        val execution = RemoteStatement(remoteCall(route, customer), statement, stateFor(statement)) { outcome ->
-            onStatementOutcome(incoming, statement, route, outcome)
-        }
-        runningStatement = execution
-        execution.start()
-    }
+    private fun context(incoming: IncomingStatement) =
+        OperationContext(incoming.id, incoming.arrivedAtMillis, lastCommit, isWanted = { !isClosed })
 
     private fun onStatementOutcome(
         incoming: IncomingStatement,
@@ -276,32 +236,6 @@
         answer(incoming, outcome, route)
     }
 
-    private fun startStatement(
-        incoming: IncomingStatement,
-        statement: ResolvedStatement,
-        route: Route,
-        group: DatabaseGroup,
-        customer: Customer?,
-    ) {
-        val execution = StatementExecution(services, group, route, statement) { outcome ->
-            onStatementOutcome(incoming, statement, route, outcome)
-        }
-        runningStatement = execution
-        execution.start(
-            Work(
-                id = incoming.id,
-                route = route,
-                customerName = nameOf(customer),
-                state = stateFor(statement),
-                needsPrimary = statement.access == Access.WRITE,
-                ownPosition = lastCommit,
-                arrivedAtMillis = incoming.arrivedAtMillis,
-                queuedAtMillis = services.timers.nowMillis(),
-                runner = execution,
-            ),
-        )
-    }
-
     private fun onTransactionOutcome(incoming: IncomingStatement, execution: OpenTransaction, outcome: Outcome) {
         if (execution.isFailed) transaction = transaction?.failed(outcome.error?.text ?: "unknown")
         answer(incoming, outcome, execution.route)
@@ -334,48 +268,11 @@
     private fun stateFor(statement: ResolvedStatement) =
         SessionState(LinkedHashMap(values), listOfNotNull(statement.plan))
 
-    private fun withRoute(incoming: IncomingStatement, then: (Route, Customer?) -> Unit) {
-        val configuration = services.configuration
-        val route = configuration.routes[database]
-            ?: return refuse(incoming, ErrorCode.UNKNOWN_DATABASE, "no database $database")
-        val customer = key?.let { configuration.customersByKey[it] }
-        if (customer == null && !route.isPublic) return refuse(incoming, ErrorCode.UNAUTHORIZED, "the key is not valid")
-        then(route, customer)
-    }
-
-    private fun withGroup(incoming: IncomingStatement, route: Route, then: (DatabaseGroup) -> Unit) {
-        val group = services.group(route.group) ?: return fail(incoming, ErrorCode.UNAVAILABLE, "no target is known")
-        then(group)
-    }
-
-    /** Refuses an operation that the configuration does not allow, and closes the session after the answer. */
-    private fun refuse(incoming: IncomingStatement, code: ErrorCode, text: String) {
-        isClosing = true
-        fail(incoming, code, text)
-    }
-
-    private fun admit(
-        incoming: IncomingStatement,
-        route: Route,
-        customer: Customer?,
-        retriesLeft: Int = MAX_RETRIES,
-        then: () -> Unit,
-    ) {
-        if (isClosed) return
-        val admission = customer?.let { services.gate.admit(it, retriesLeft < MAX_RETRIES) } ?: Admission.Admitted
-        if (admission !is Admission.Refused) return then()
-        val waitedMillis = services.timers.nowMillis() - incoming.arrivedAtMillis
-        val isWithinLimit =
-            waitedMillis + admission.retryAfterMillis <= route.latencyGoalMillis / ADMISSION_WAIT_DIVISOR
-        if (admission.reason == RefusalReason.OVER_RATE && isWithinLimit && retriesLeft > 0) {
-            services.timers.after(maxOf(1, admission.retryAfterMillis)) {
-                admit(incoming, route, customer, retriesLeft - 1, then)
-            }
-            return
-        }
-        val text = "${admission.reason.text}, not run, retry after ${admission.retryAfterMillis} ms"
-        val code = if (admission.reason == RefusalReason.OVER_RATE) ErrorCode.BUSY else ErrorCode.UNAVAILABLE
-        answer(incoming, Outcome.error(code, text), route)
+    /** Answers an operation that was not started; closes the session when the configuration does not allow it. */
+    private fun refuse(incoming: IncomingStatement, refusal: OperationRefusal) {
+        if (refusal.endsSession) isClosing = true
+        val route = refusal.route ?: return fail(incoming, refusal.code, refusal.text)
+        answer(incoming, Outcome.error(refusal.code, refusal.text), route)
     }
 
     private fun failMalformed(incoming: IncomingStatement, text: String) = fail(incoming, ErrorCode.MALFORMED, text)
@@ -445,9 +342,5 @@
         /** The customer name of callers without a key, which only public databases serve. */
         public const val ANONYMOUS_CUSTOMER: String = "-"
         private const val MAX_PENDING_STATEMENTS = 32
-        private const val MAX_RETRIES = 15
-
-        /** An operation waits for its customer's rate for at most its latency goal divided by this. */
-        private const val ADMISSION_WAIT_DIVISOR = 5
     }
 }
