Forwarding: a member alone serves its open sessions while it stops

Cause: a stopping member placed its callers' operations on other members only, so a fleet of one host refused everything from SIGTERM on. Change: without a ready member the operation runs here. Test seen to fail first (ForwardingTest).

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/Forwarder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/Forwarder.kt
@@ -31,14 +31,18 @@
     /** Called with the member and its configuration version when that is newer than [newestVersion]. */
     public var onNewerConfiguration: (Member, Long) -> Unit = { _, _ -> }
 
-    /** Where an operation of [customerName] runs, other than on the hosts [tried], by name. */
+    /**
+     * Where an operation of [customerName] runs, other than on the hosts [tried], by name. A member that knows no ready
+     * one, itself included, runs it all the same: it may still finish what its callers began.
+     */
     internal fun place(customerName: String, tried: Set<String> = emptySet()): ServingPlace {
         val nowMillis = timers.nowMillis()
         val isMember = fleet.isRegistered
         val others = if (isMember) fleet.readyPeers(nowMillis) else fleet.directory.usable(nowMillis)
         val left = others.filter { it.name !in tried && !isAvoided(it, nowMillis) } +
             listOfNotNull(self.takeIf { isMember && isSelfReady() })
-        val chosen = RendezvousHash.pick(left, customerName) ?: return ServingPlace.Nowhere
+        val chosen = RendezvousHash.pick(left, customerName)
+            ?: return if (isMember) ServingPlace.Here else ServingPlace.Nowhere
         return if (chosen.name == self.name) ServingPlace.Here else ServingPlace.Remote(connection(chosen))
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -73,6 +73,39 @@
         assertEquals(listOf("r1" to 1L), fixture.promotions)
     }
 
+    @Test
+    fun `a member that has just lost its seat acknowledges no write of a primary that is being replaced`() {
+        val fixture = HostFixture(hostCount = 14, settleMillis = 3_000)
+        val lost = fixture.store.seats.first().member.name
+        val lostIndex = lost.removePrefix("host-").toInt()
+        val caller = FakeCaller()
+        fixture.partitionedHosts += lost
+        for (step in 0 until 2_000) {
+            fixture.timers.advance(10)
+            if (fixture.store.seats.none { it.member.name == lost }) break
+        }
+        fixture.hostsWithoutPlatform += lost
+        fixture.timers.advance(300)
+        assertTrue(fixture.store.seats.none { it.member.name == lost })
+        for (host in fixture.hosts.indices - lostIndex) fixture.targets.partitionedPaths += "host-$host/p"
+        var isReplaced = false
+        fixture.onPromoted = { isReplaced = true }
+        var lateCommits = 0
+        fixture.targets.onCommit = { target, _ -> if (isReplaced && target.id == "p") lateCommits++ }
+        val session = fixture.open(caller, host = lostIndex)
+        var acknowledgedLate = 0
+        for (host in fixture.hosts.indices - lostIndex) fixture.open(FakeCaller(), host = host).onStatement("w", write)
+
+        repeat(150) {
+            val before = lateCommits
+            val answer = fixture.ask(session, caller, write, millis = 20)
+            if (lateCommits > before && answer != null && answer.error == null) acknowledgedLate++
+        }
+
+        assertTrue(isReplaced)
+        assertEquals(0, acknowledgedLate)
+    }
+
     @Test
     fun `a heartbeat of an earlier incarnation that arrives late changes nothing`() {
         val peer = fixture.hosts[1]
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -247,6 +247,19 @@
         assertFalse(fixture.hosts[forwarder].isReady)
     }
 
+    @Test
+    fun `the only member serves its open sessions while it stops`() {
+        val alone = HostFixture(hostCount = 1)
+        val session = alone.open(caller)
+        alone.ask(session, caller, write)
+
+        alone.hosts[0].stop(5_000, stopAccepting = {}) {}
+        val answer = alone.ask(session, caller, write)
+
+        assertNull(answer?.error)
+        assertEquals("digest", answer?.digest)
+    }
+
     private companion object {
         const val HOSTS = 14
     }
