Fleet: a member that lost its seat takes none from the others by force

Cause: a host counts how long no member has answered it, to take seats when all members are lost. A member does not ask, so one that lost its seat after a cut counted from its start, and took the seat of a member in good health, which did the same. Found by reading; FleetSizeTest failed first (three seats changed hands within 10 s). Change: the count begins anew when the seat is lost. Forwarded messages carry LogPosition in place of two numbers.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/LogPosition.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/LogPosition.kt
@@ -1,5 +1,9 @@
 package dev.cardamomlane.core
 
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
+
 /**
  * A position in the replicated log of a database group.
  *
@@ -10,6 +14,9 @@
  * @property term the term of the log record; not the fencing term of a target
  * @property offset the number of the record in the log, counted from 1; 0 is the position before the first record
  */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
 public data class LogPosition(val term: Long, val offset: Long) : Comparable<LogPosition> {
     init {
         require(term >= 0) { "term must not be negative but was $term" }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -251,6 +251,7 @@
         }
         val all = (if (isRegistered) names + self.name else names).sorted()
         membersHash = all.hashCode()
+        if (wasRegistered && !isRegistered) directory.restart()
         if (peersByName.keys == before && wasRegistered == isRegistered) return
         wasRegistered = isRegistered
         hasReadMembers = true
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberDirectory.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberDirectory.kt
@@ -36,6 +36,11 @@
     /** The number of known members, usable or not. */
     public val size: Int get() = entries.size
 
+    /** Begins to ask anew, after this host has lost its seat: the silence before does not count. */
+    internal fun restart() {
+        answeredAtMillis = timers.nowMillis()
+    }
+
     /** Replaces the members by those that were read from the store. */
     internal fun onRows(members: Collection<Member>) = replace(members)
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -1,6 +1,5 @@
 package dev.cardamomlane.engine.forward
 
-import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.session.CallerLink
 import dev.cardamomlane.engine.session.CallerSession
@@ -55,8 +54,7 @@
         val opened = sessions.open(this, start.database, start.key)
             ?: return end(ErrorCode.UNAVAILABLE, "the serving host takes no operations, not run")
         session = opened
-        val position = if (start.commitTerm < 0) null else LogPosition(start.commitTerm, start.commitOffset)
-        opened.adopt(waitingStep?.values ?: emptyMap(), position)
+        opened.adopt(waitingStep?.values ?: emptyMap(), start.lastCommit)
         if (start.transaction != TransactionKind.NONE) {
             isBeginning = true
             opened.onStatement(waitingStep?.id ?: "-", Statement.Begin(start.transaction == TransactionKind.READ_ONLY))
@@ -112,8 +110,7 @@
             error = answer.error?.code,
             errorText = answer.error?.text ?: "",
             state = answer.state,
-            positionTerm = answer.position?.term ?: NO_POSITION,
-            positionOffset = answer.position?.offset ?: NO_POSITION,
+            position = answer.position,
             configurationVersion = sessions.configurationVersion,
         )
         link.send(HostMessage(answer = message))
@@ -141,8 +138,6 @@
     override fun close() = end()
 
     companion object {
-        private const val NO_POSITION = -1L
-
         /** How long an operation waits for the configuration that the other host has used. */
         private const val MAX_CONFIGURATION_WAIT_MILLIS = 600L
         private const val CONFIGURATION_POLL_MILLIS = 20L
@@ -156,8 +151,7 @@
                 error = ErrorCode.ABORTED,
                 errorText = "the transaction is not open any more",
                 state = TransactionState.FAILED,
-                positionTerm = NO_POSITION,
-                positionOffset = NO_POSITION,
+                position = null,
                 configurationVersion = configurationVersion,
             )
             link.send(HostMessage(answer = answer))
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationAnswer.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationAnswer.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.forward
 
+import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.TransactionState
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -13,8 +14,7 @@
  * @property error the error's code, or null for a success
  * @property errorText explains [error] to people; empty for a success
  * @property state the transaction after the step
- * @property positionTerm term of the log position after the step, or -1 when it is not known
- * @property positionOffset offset of that position
+ * @property position the log position after the step, or null when it is not known
  * @property configurationVersion the configuration by which the step was decided
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -27,7 +27,6 @@
     val error: ErrorCode?,
     val errorText: String,
     val state: TransactionState,
-    val positionTerm: Long,
-    val positionOffset: Long,
+    val position: LogPosition?,
     val configurationVersion: Long,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationStart.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationStart.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.forward
 
+import dev.cardamomlane.core.LogPosition
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborArray
@@ -9,8 +10,7 @@
  *
  * @property key the caller's key, or null when it presented none
  * @property transaction whether the operation is a transaction, and of which kind
- * @property commitTerm term of the log position of the session's last commit, or -1 when there is none
- * @property commitOffset offset of that position
+ * @property lastCommit the log position of the session's last commit, or null when there is none
  * @property configurationVersion the newest configuration that the sender used; an older one must not decide
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -20,7 +20,6 @@
     val database: String,
     val key: String?,
     val transaction: TransactionKind,
-    val commitTerm: Long,
-    val commitOffset: Long,
+    val lastCommit: LogPosition?,
     val configurationVersion: Long,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
@@ -38,28 +38,22 @@
         database = database,
         key = key,
         transaction = transaction,
-        commitTerm = lastCommit?.term ?: NO_POSITION,
-        commitOffset = lastCommit?.offset ?: NO_POSITION,
+        lastCommit = lastCommit,
         configurationVersion = maxOf(services.configuration.version, forwarder.newestVersion),
     )
 
     companion object {
-        /** Stands for a log position that is not known. */
-        const val NO_POSITION = -1L
-
         /** How much longer than the route's timeout an answer is waited for: the serving host keeps the timeout. */
         const val ANSWER_MARGIN_MILLIS = 60L
 
         /** How many members are tried for one operation. */
         private const val MAX_HOSTS = 3
 
-        fun position(term: Long, offset: Long): LogPosition? = if (term < 0) null else LogPosition(term, offset)
-
         fun outcome(answer: OperationAnswer) = Outcome(
             rows = answer.rows,
             digest = answer.digest,
             error = answer.error?.let { StatementError(it, answer.errorText) },
-            position = position(answer.positionTerm, answer.positionOffset),
+            position = answer.position,
         )
     }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSizeTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSizeTest.kt
@@ -73,6 +73,24 @@
         assertEquals(members, fixture.memberNames())
     }
 
+    @Test
+    fun `a member that lost its seat while it was cut off takes none from the others when it is back`() {
+        val fixture = HostFixture(hostCount = 14, settleMillis = 3_000)
+        val lost = fixture.memberNames().first()
+        fixture.partitionedHosts += lost
+        fixture.hostsWithoutPlatform += lost
+        fixture.timers.advance(14_000)
+        val members = fixture.memberNames()
+        assertTrue(lost !in members)
+
+        fixture.partitionedHosts.clear()
+        fixture.hostsWithoutPlatform.clear()
+        fixture.timers.advance(10_000)
+
+        assertEquals(members, fixture.memberNames())
+        assertTrue(fixture.hosts.all { it.isReady })
+    }
+
     @Test
     fun `hosts take the seats by force when every member is lost for good`() {
         val fixture = HostFixture(hostCount = 30, settleMillis = 3_000)
