MemberDirectory: remove avoid, which nothing calls

The forwarder keeps its own list of members to leave out. Checked with formatter, linter and four test classes of the engine (ForwardingTest, FleetSizeTest, TakeoverTest, CallerSessionTest); the whole script was not run again.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberDirectory.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberDirectory.kt
@@ -88,11 +88,6 @@
     public fun usable(nowMillis: Long): List<Member> =
         entries.values.filter { it.isUsable(nowMillis) }.map { it.member }
 
-    /** Leaves the member [name] out for a while, after it failed to answer this host. */
-    public fun avoid(name: String) {
-        entries[name]?.avoidedUntilMillis = timers.nowMillis() + AVOID_MILLIS
-    }
-
     /** Records that the member [name] takes no new operations, as it told itself. */
     public fun leaving(name: String) {
         entries[name]?.let {
