Logs and metrics that tell the restored store's hypotheses apart

Cause looked for: hosts kept old copies after the store came back from an older one, and the logs did not say which of four ways.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreWrite.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreWrite.kt
@@ -5,8 +5,15 @@
     /** The row was written, or removed, as [version]. */
     public data class Applied(val version: Long) : StoreWrite
 
-    /** Nothing was written: the row had another version than expected. */
-    public data object Conflict : StoreWrite
+    /**
+     * Nothing was written: the row had another version than expected, namely [foundVersion]; 0 when there was no row,
+     * and [UNKNOWN_VERSION] when the store did not say.
+     */
+    public data class Conflict(val foundVersion: Long) : StoreWrite {
+        public companion object {
+            public const val UNKNOWN_VERSION: Long = -1
+        }
+    }
 
     /** Nothing was written: the store refused the call. */
     public data class Refused(val reason: String) : StoreWrite
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -113,7 +113,7 @@
         )
         log.event(
             "takeover", "claim", "group", group.id.value, "reason", reason, "fence", record.fence,
-            "primary", primaryId.value, "is_planned", isPlanned,
+            "primary", primaryId.value, "is_planned", isPlanned, "expected_version", old?.version ?: 0,
             "proof_age_ms", nowMillis - groupRecords.provedAtMillis,
         )
         phase = TakeoverPhase.Claiming
