--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeStore.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeStore.kt
@@ -11,6 +11,7 @@
 
 /** An in-memory store that answers at once. While [isDown], it can't be reached. */
 class FakeStore : ControlStore {
+    private var epoch = 1L
     private val recordsByGroup = HashMap<String, GroupRecord>()
     private val rowsBySeat = sortedMapOf<Int, MemberRow>()
     private var version = 0L
@@ -58,6 +59,25 @@
         StoreWrite.Applied(++version)
     }
 
+    /** Returns a copy of the rows, which [restore] puts back. */
+    fun copy(): Copy = Copy(recordsByGroup.toMap(), rowsBySeat.toMap(), version)
+
+    /** Loses what was written since [copy] was made. Versions start again from the copy's, in the next epoch. */
+    fun restore(copy: Copy) {
+        recordsByGroup.clear()
+        recordsByGroup.putAll(copy.recordsByGroup)
+        rowsBySeat.clear()
+        rowsBySeat.putAll(copy.rowsBySeat)
+        version = copy.version
+        epoch++
+    }
+
+    class Copy(
+        internal val recordsByGroup: Map<String, GroupRecord>,
+        internal val rowsBySeat: Map<Int, MemberRow>,
+        internal val version: Long,
+    )
+
     private fun change(apply: () -> StoreWrite): Mono<StoreWrite> = Mono.fromSupplier {
         callCount++
         if (isDown) StoreWrite.Refused("down") else apply()
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -29,7 +29,7 @@
 class HostFixture(
     hostCount: Int = 1,
     settleMillis: Long = 1_000,
-    isConfigured: Boolean = true,
+    private val isConfigured: Boolean = true,
     private val isReplicatedBeforeAcknowledged: Boolean = false,
 ) {
     val timers = ManualTimerService()
@@ -54,7 +54,11 @@
 
     /** Names of hosts that can't reach the store and whose promotion requests get no answer. */
     val hostsWithoutPlatform = HashSet<String>()
-    val hosts: List<ProxyHost>
+    private val runningHosts = ArrayList<ProxyHost>()
+    private val processes = HashMap<String, StoppableTimers>()
+
+    /** The host that runs under each name, in the order of the names' numbers. */
+    val hosts: List<ProxyHost> get() = runningHosts
 
     /** The connections between the hosts. */
     val links = FakeHostLinks(timers) { from, to -> from in partitionedHosts || to in partitionedHosts }
@@ -62,23 +66,36 @@
 
     init {
         targets.target("p").isPrimary = true
-        hosts = List(hostCount) { host("host-$it") }
-        hosts.forEach {
-            if (isConfigured) it.configure(configuration(version = 1))
-            it.updateTargets(listOf(entry("p", isPrimary = true), entry("r1"), entry("r2")))
-            it.start()
-        }
+        repeat(hostCount) { runningHosts += host("host-$it", incarnation = 1) }
+        hosts.forEach(::start)
         timers.advance(settleMillis)
     }
 
-    private fun host(name: String): ProxyHost {
+    private fun start(host: ProxyHost) {
+        if (isConfigured) host.configure(configuration(version = 1))
+        host.updateTargets(listOf(entry("p", isPrimary = true), entry("r1"), entry("r2")))
+        host.start()
+    }
+
+    /** Kills host [index] and starts it anew; it remembers nothing. */
+    fun restart(index: Int) {
+        val name = "host-$index"
+        processes.getValue(name).stop()
+        links.disconnect(name)
+        runningHosts[index] = host(name, incarnation = timers.nowMillis())
+        start(runningHosts[index])
+    }
+
+    private fun host(name: String, incarnation: Long): ProxyHost {
+        val process = StoppableTimers(timers)
+        processes[name] = process
         val host = ProxyHost(
-            self = Member(name, incarnation = 1, address = name, snapshotAddress = name, zone = "a"),
+            self = Member(name, incarnation, address = name, snapshotAddress = name, zone = "a"),
             zones = listOf("a"),
-            timers = timers,
+            timers = process,
             dialer = targets.dialerFor(name),
             store = PartitionableStore(store) { name in hostsWithoutPlatform },
-            network = { address, message -> deliver(name, address, message) },
+            network = { address, message -> if (process.isRunning) deliver(name, address, message) },
             hostDialer = links.dialerFor(name),
             promotion = { _, target, holder, fence ->
                 if (holder.substringBefore('#') in
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/RestoredStoreTest.kt
@@ -0,0 +1,114 @@
+package dev.cardamomlane.engine.fleet
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.engine.FakeCaller
+import dev.cardamomlane.engine.HostFixture
+import dev.cardamomlane.engine.statement.Access
+import dev.cardamomlane.engine.statement.Statement
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** What hosts do when the store comes back from a copy that lacks its newest rows and gives out their versions anew. */
+class RestoredStoreTest {
+    private val fixture = HostFixture(hostCount = 3)
+    private val timers = fixture.timers
+    private val write = Statement.Run(Access.WRITE, "WRITE 1 x")
+
+    private fun primaryIds() = fixture.hosts.map { it.group(DatabaseId("g"))?.primary?.entry?.id?.value }
+
+    private fun writeEverywhere() {
+        for (index in fixture.hosts.indices) fixture.open(FakeCaller(), host = index).onStatement("w$index", write)
+    }
+
+    private fun crash(id: String) {
+        val target = fixture.targets.target(id)
+        target.isDown = true
+        fixture.targets.links.filter { it.target === target }.forEach { it.disconnect() }
+    }
+
+    /** Crashes the primary [old] and lets [replica], which has received most, replace it. */
+    private fun replace(old: String, replica: String) {
+        writeEverywhere()
+        timers.advance(200)
+        fixture.targets.target(replica).position = LogPosition(5, 9)
+        crash(old)
+        writeEverywhere()
+        timers.advance(4_000)
+        assertEquals(replica, fixture.promotions.last().first)
+    }
+
+    private fun restartAll() = fixture.hosts.indices.forEach(fixture::restart)
+
+    @Test
+    fun `a primary that crashes after the store lost its record is replaced in time`() {
+        val copy = fixture.store.copy()
+        replace("p", replica = "r1")
+        fixture.store.restore(copy)
+        timers.advance(3_000)
+
+        replace("r1", replica = "r2")
+
+        assertEquals(listOf<String?>("r2", "r2", "r2"), primaryIds())
+    }
+
+    @Test
+    fun `a fence is not sent twice although the store and every host forgot it`() {
+        val copy = fixture.store.copy()
+        replace("p", replica = "r1")
+        fixture.store.restore(copy)
+        restartAll()
+        timers.advance(6_000)
+
+        replace("r1", replica = "r2")
+
+        val fences = fixture.promotions.map { it.second }
+        assertEquals(fences.sorted().distinct(), fences)
+    }
+
+    @Test
+    fun `no write goes to a replaced primary although the store and every host forgot that it was replaced`() {
+        val copy = fixture.store.copy()
+        writeEverywhere()
+        timers.advance(200)
+        for (host in fixture.hosts.indices) fixture.targets.partitionedPaths += "host-$host/p"
+        writeEverywhere()
+        timers.advance(4_000)
+        assertEquals(1, fixture.promotions.size)
+        fixture.targets.partitionedPaths.clear()
+        fixture.store.restore(copy)
+        restartAll()
+        var lateCommits = 0
+        fixture.targets.onCommit = { target, _ -> if (target.id == "p") lateCommits++ }
+
+        repeat(200) {
+            timers.advance(50)
+            for (index in fixture.hosts.indices) {
+                val host = fixture.hosts[index]
+                if (host.isReady) fixture.open(FakeCaller(), host = index).onStatement("w", write)
+            }
+        }
+
+        assertEquals(0, lateCommits)
+        val caller = FakeCaller()
+        assertNull(fixture.ask(fixture.open(caller), caller, write)?.error)
+    }
+
+    @Test
+    fun `claims pause while the store refuses them`() {
+        writeEverywhere()
+        timers.advance(200)
+        fixture.store.isDown = true
+        crash("p")
+        writeEverywhere()
+        timers.advance(500)
+        val callsBefore = fixture.store.callCount
+
+        timers.advance(1_000)
+
+        val calls = fixture.store.callCount - callsBefore
+        assertTrue(calls <= 10 * fixture.hosts.size, "$calls calls of ${fixture.hosts.size} hosts in a second")
+    }
+}
