Copies of the store's tables are ordered by epoch and version

Cause: a copy was kept because its version was higher than that of a store that had come back from an older copy. Whole reads were dropped as old and the feed refused the version, in a loop, until the store had given the version out again; what it wrote meanwhile was never read. The class: an order that holds for one life of the store was taken to hold for good.

Change: a position is an epoch and a version.

--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StorePosition.kt
@@ -0,0 +1,30 @@
+package dev.cardamomlane.engine.fleet
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
+
+/**
+ * A point in the history of the platform's store.
+ *
+ * The store's version rises with each change, but only within an epoch. When the store comes back from an older copy of
+ * its rows, it goes back to the copy's version and gives out the later ones again, and its epoch rises. So positions are
+ * ordered by epoch first, and versions of different epochs are not comparable.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+public data class StorePosition(val epoch: Long, val version: Long) : Comparable<StorePosition> {
+    override fun compareTo(other: StorePosition): Int = compareValuesBy(this, other, { it.epoch }, { it.version })
+
+    /** Returns the position as `epoch:version`, for logs. */
+    override fun toString(): String = "$epoch:$version"
+
+    public companion object {
+        /** The epoch of a store that names none. */
+        public const val UNKNOWN_EPOCH: Long = 0
+
+        /** The position before every other one. */
+        public val START: StorePosition = StorePosition(epoch = UNKNOWN_EPOCH, version = -1)
+    }
+}
