--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -140,7 +140,7 @@
 
     /** Puts [newer] in force, unless the configuration in force has the same or a newer version. */
     public fun configure(newer: Configuration) {
-        if (newer.version <= configuration.version) return logOlder(newer)
+        if (newer.version <= configuration.version) return
         val before = configuration
         configuration = newer
         log.event(
@@ -151,11 +151,6 @@
         openWaitingSessions()
     }
 
-    private fun logOlder(older: Configuration) {
-        if (older.version == configuration.version) return
-        log.event("configuration", "older_ignored", "version", older.version, "in_force", configuration.version)
-    }
-
     /** Replaces the list of targets. */
     public fun updateTargets(newer: List<TargetEntry>) {
         entries = newer
