Group records are ordered by their fence, not by the store's version

Cause: a record was newer when its row's version was higher, and a claim expected the version of the known record. A confirmation was a version too, so that one from before could have counted for a takeover after it.

Change: a record's order is its fence, and under one fence the claim before its result. The position is only what a write expects, and is that of the newest row seen in the newest epoch. Confirmations name the fence. A claim that was written in another epoch than expected is given up.

Tests: the primary that crashes after the restoration is replaced (failed before). A confirmation from before does not count: it could not fail before, since no takeover succeeded; with any earlier confirmation counting it fails with 9 writes.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -234,7 +234,7 @@
     private fun onRows(rows: ControlRows, sentAtMillis: Long) {
         this.rows = rows.members
         rowsSentAtMillis = sentAtMillis
-        groupRecords.learn(rows.records, if (isRegistered) sentAtMillis else GroupRecords.NEVER)
+        groupRecords.learnRows(rows, if (isRegistered) sentAtMillis else GroupRecords.NEVER)
         val members = rows.members.map { it.member }.filter { it.name != self.name }.distinctBy { it.name }
         updatePeers(members)
         if (!isRegistered) directory.onRows(members)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupRecords.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupRecords.kt
@@ -19,6 +19,8 @@
  */
 public class GroupRecords {
     private val records = HashMap<DatabaseId, GroupRecord>()
+    private val rowPositions = HashMap<DatabaseId, StorePosition>()
+    private var readEpoch = StorePosition.UNKNOWN_EPOCH
     private val proofBeforeTakeoverMillis = HashMap<DatabaseId, Long>()
     private val listeners = ArrayList<(GroupRecord) -> Unit>()
 
@@ -34,6 +36,13 @@
     /** The record of [group], or null when no takeover of it is known. */
     public fun record(group: DatabaseId): GroupRecord? = records[group]
 
+    /**
+     * The newest position at which the row of [group] was seen in the store, with version 0 when there is no row. A
+     * write of the row expects it there. It may hold an older record than [record], after the store was restored.
+     */
+    public fun rowPosition(group: DatabaseId): StorePosition =
+        rowPositions[group]?.takeIf { it.epoch >= readEpoch } ?: StorePosition(readEpoch, version = 0)
+
     /** True while the proof is younger than [MAX_AGE_MILLIS]. */
     public fun isCurrent(nowMillis: Long): Boolean = nowMillis - provedAtMillis < MAX_AGE_MILLIS
 
@@ -48,13 +57,20 @@
         return nowMillis - proofMillis < MAX_AGE_MILLIS
     }
 
+    /** Like [learn] with the records of [rows], which were read from the store. */
+    public fun learnRows(rows: ControlRows, newestAtMillis: Long) {
+        readEpoch = maxOf(readEpoch, rows.epoch)
+        learn(rows.records, newestAtMillis)
+    }
+
     /**
      * Applies those of the [received] records that are newer than the known ones.
      *
      * @param newestAtMillis the time at which, by proof, they were the newest; [NEVER] without proof
      */
     public fun learn(received: Collection<GroupRecord>, newestAtMillis: Long) {
-        val newer = received.filter { it.version > (records[it.group]?.version ?: 0) }
+        for (record in received) rowPositions.merge(record.group, record.position, ::maxOf)
+        val newer = received.filter { record -> records[record.group]?.let(record::isNewerThan) ?: true }
         for (record in newer) {
             val wasChanging = records[record.group]?.isChanging == true
             if (record.isChanging && !wasChanging) proofBeforeTakeoverMillis[record.group] = provedAtMillis
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupStatus.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupStatus.kt
@@ -11,20 +11,21 @@
 /**
  * What a heartbeat reports of one group.
  *
- * @property version the version of the record that the sender knows; 0 when it knows none, and then the fields up to
- *   [recordTerm] describe no record, but [primary] still names the primary that the sender uses, if any
+ * @property position where the store has the record that the sender knows
+ * @property fence the fence of that record; 0 when the sender knows none, and then the fields up to [recordTerm]
+ *   describe no record, but [primary] still names the primary that the sender uses, if any
  * @property positionAgeMillis age of the newest log position of the primary, or -1 when the sender knows none
  * @property primaryHeardMillis how long ago the primary answered the sender, or -1 when it never did
  * @property unreachable the targets that do not answer the sender
- * @property confirmedVersion the version of the last takeover record under which the sender has confirmed that it
- *   sends and acknowledges no more writes, or 0
+ * @property confirmedFence the fence of the last takeover record under which the sender has confirmed that it sends
+ *   and acknowledges no more writes, or 0
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @CborArray
 public data class GroupStatus(
     val group: String,
-    val version: Long,
+    val position: StorePosition,
     val fence: Long,
     val primary: String,
     val isChanging: Boolean,
@@ -36,13 +37,13 @@
     val positionAgeMillis: Long,
     val primaryHeardMillis: Long,
     val unreachable: List<String>,
-    val confirmedVersion: Long,
+    val confirmedFence: Long,
 ) {
     /** The record that the sender knows, or null when it knows none. */
-    public fun record(): GroupRecord? = if (version == 0L) {
+    public fun record(): GroupRecord? = if (fence == 0L) {
         null
     } else {
-        GroupRecord(DatabaseId(group), version, fence, TargetId(primary), isChanging, isPlanned, holder, recordTerm)
+        GroupRecord(DatabaseId(group), position, fence, TargetId(primary), isChanging, isPlanned, holder, recordTerm)
     }
 
     public companion object {
@@ -53,7 +54,7 @@
             val hasAnswered = primary != null && primary.lastAnswerAtMillis > GroupRecords.NEVER
             return GroupStatus(
                 group = group.id.value,
-                version = record?.version ?: 0,
+                position = record?.position ?: StorePosition.START,
                 fence = record?.fence ?: 0,
                 primary = record?.primary?.value ?: primary?.entry?.id?.value ?: "",
                 isChanging = record?.isChanging ?: false,
@@ -65,7 +66,7 @@
                 positionAgeMillis = if (sample == null) -1 else nowMillis - sample.sentAtMillis,
                 primaryHeardMillis = if (hasAnswered) nowMillis - primary.lastAnswerAtMillis else -1,
                 unreachable = group.targets.filter { it.unreachableSinceMillis != null }.map { it.entry.id.value },
-                confirmedVersion = group.confirmedVersion,
+                confirmedFence = group.confirmedFence,
             )
         }
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreWrite.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreWrite.kt
@@ -2,8 +2,8 @@
 
 /** The result of a write to the store. */
 public sealed interface StoreWrite {
-    /** The row was written, or removed, as [version]. */
-    public data class Applied(val version: Long) : StoreWrite
+    /** The row was written, or removed, at [position]. */
+    public data class Applied(val position: StorePosition) : StoreWrite
 
     /**
      * Nothing was written: the row had another version than expected, namely [foundVersion]; 0 when there was no row,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -44,7 +44,7 @@
     private val demotions = Demotions(group, customerName)
     private var phase: TakeoverPhase = TakeoverPhase.Watching
     private var observedSinceMillis = 0L
-    private var observedVersion = -1L
+    private var observed: GroupRecord? = null
     private var plannedNotBeforeMillis = GroupRecords.NEVER
     private var tooFewAliveSinceMillis: Long? = null
     private var isCallUnderWay = false
@@ -66,15 +66,14 @@
     }
 
     private fun observeRecord(nowMillis: Long) {
-        val record = groupRecords.record(group.id)
-        if (record != null && record.version != observedVersion) {
-            observedVersion = record.version
-            observedSinceMillis = nowMillis
-            val isOurs = record.isChanging && record.holder == self
-            if (!isOurs && phase !is TakeoverPhase.Watching && phase !is TakeoverPhase.Claiming) {
-                log.event("takeover", "superseded", "group", group.id.value, "fence", record.fence)
-                phase = TakeoverPhase.Watching
-            }
+        val record = groupRecords.record(group.id) ?: return
+        if (observed?.let(record::isNewerThan) == false) return
+        observed = record
+        observedSinceMillis = nowMillis
+        val isOurs = record.isChanging && record.holder == self
+        if (!isOurs && phase !is TakeoverPhase.Watching && phase !is TakeoverPhase.Claiming) {
+            log.event("takeover", "superseded", "group", group.id.value, "fence", record.fence)
+            phase = TakeoverPhase.Watching
         }
     }
 
@@ -100,10 +99,11 @@
         if (!groupRecords.isCurrent(nowMillis) || !fleet.agreesOnMembers(nowMillis)) return
         if (!canBlockMajority(nowMillis)) return
         val old = groupRecords.record(group.id)
+        val expected = groupRecords.rowPosition(group.id)
         val primaryId = old?.primary ?: group.primary?.entry?.id ?: UNKNOWN_TARGET
         val record = GroupRecord(
             group = group.id,
-            version = 0,
+            position = expected,
             fence = (old?.fence ?: 0) + 1,
             primary = primaryId,
             isChanging = true,
@@ -113,11 +113,11 @@
         )
         log.event(
             "takeover", "claim", "group", group.id.value, "reason", reason, "fence", record.fence,
-            "primary", primaryId.value, "is_planned", isPlanned, "expected_version", old?.version ?: 0,
+            "primary", primaryId.value, "is_planned", isPlanned, "expected", expected,
             "proof_age_ms", nowMillis - groupRecords.provedAtMillis,
         )
         phase = TakeoverPhase.Claiming
-        store.writeRecord(record, expectedVersion = old?.version ?: 0).subscribe(
+        store.writeRecord(record, expected.version).subscribe(
             { onClaim(it, record) },
             { failure -> abandonClaim("claim failed: ${failure.message}") },
         )
@@ -125,9 +125,10 @@
 
     private fun onClaim(outcome: StoreWrite, record: GroupRecord) {
         if (outcome !is StoreWrite.Applied) return abandonClaim("store answered the claim with $outcome")
-        val claimed = record.copy(version = outcome.version)
+        if (outcome.position.epoch != record.position.epoch) return abandonClaim("the store was restored meanwhile")
+        val claimed = record.copy(position = outcome.position)
         groupRecords.learn(listOf(claimed), GroupRecords.NEVER)
-        observedVersion = claimed.version
+        observed = claimed
         notRunning.clear()
         phase = TakeoverPhase.Draining(claimed, claimedAtMillis = timers.nowMillis())
         fleet.heartbeat()
@@ -143,8 +144,8 @@
     private fun awaitDrain(now: TakeoverPhase.Draining, nowMillis: Long) {
         val isMemberListNew = fleet.rowsSentAtMillis >= now.claimedAtMillis
         if (!isMemberListNew) fleet.refresh()
-        val isConfirmed = isMemberListNew && group.hasConfirmed(now.record.version) && fleet.peers.all { peer ->
-            (peer.groupStatus(group.id.value)?.confirmedVersion ?: 0) >= now.record.version
+        val isConfirmed = isMemberListNew && group.hasConfirmed(now.record.fence) && fleet.peers.all { peer ->
+            (peer.groupStatus(group.id.value)?.confirmedFence ?: 0) >= now.record.fence
         }
         if (!isConfirmed && !hasOldProofExpired(now, nowMillis)) return
         log.event("takeover", "drained", "group", group.id.value, "is_confirmed", isConfirmed)
@@ -170,7 +171,7 @@
      * the store after the claim, nor from heartbeats of a majority after [Fleet.blockingCount] members knew of it.
      */
     private fun hasOldProofExpired(now: TakeoverPhase.Draining, nowMillis: Long): Boolean {
-        val informed = 1 + fleet.peers.count { (it.groupStatus(group.id.value)?.version ?: 0) >= now.record.version }
+        val informed = 1 + fleet.peers.count { (it.groupStatus(group.id.value)?.fence ?: 0) >= now.record.fence }
         if (now.informedAtMillis == null && informed >= fleet.blockingCount) now.informedAtMillis = nowMillis
         val informedAtMillis = now.informedAtMillis ?: (now.claimedAtMillis + TOO_FEW_ALIVE_MILLIS)
         return nowMillis >=
@@ -280,8 +281,10 @@
     private fun publish(now: TakeoverPhase.Publishing, nowMillis: Long) {
         if (isCallUnderWay || nowMillis < now.notBeforeMillis) return
         isCallUnderWay = true
-        val record = now.record.copy(version = 0, primary = now.primary, isChanging = false, term = now.term)
-        store.writeRecord(record, expectedVersion = now.record.version).doFinally { isCallUnderWay = false }.subscribe(
+        val expected = groupRecords.rowPosition(group.id)
+        val record =
+            now.record.copy(position = expected, primary = now.primary, isChanging = false, term = now.term)
+        store.writeRecord(record, expected.version).doFinally { isCallUnderWay = false }.subscribe(
             { onPublished(now, record, it) },
             { failure -> log.event("takeover", "publish_failed", "reason", failure.message) },
         )
@@ -295,10 +298,10 @@
             return
         }
         phase = TakeoverPhase.Watching
-        observedVersion = outcome.version
+        observed = record
         if (now.primary != now.record.primary) demotions.add(now.record.primary, now.term, timers.nowMillis())
         demotions.remove(now.primary)
-        groupRecords.learn(listOf(record.copy(version = outcome.version)), GroupRecords.NEVER)
+        groupRecords.learn(listOf(record.copy(position = outcome.position)), GroupRecords.NEVER)
         log.event(
             "takeover", "published", "group", group.id.value, "primary", now.primary.value, "term", now.term,
             "fence", record.fence,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -39,11 +39,11 @@
     private val openTransactions = HashSet<Any>()
     private var recordChangedAtMillis = GroupRecords.NEVER
 
-    /** The record version of the newest takeover for which this host has stopped sending and acknowledging writes. */
-    public var confirmedVersion: Long = 0
+    /** The fence of the newest takeover for which this host has stopped sending and acknowledging writes. */
+    public var confirmedFence: Long = 0
         private set
 
-    /** Called when [confirmedVersion] changes. */
+    /** Called when [confirmedFence] changes. */
     public var onConfirmed: () -> Unit = {}
 
     /** Called when the primary stops answering. */
@@ -320,15 +320,15 @@
     internal fun isReplaced(target: Target): Boolean =
         records.record(id)?.let { it.primary != target.entry.id || isConfirmed(it) } ?: false
 
-    private fun isConfirmed(record: GroupRecord) = record.isChanging && hasConfirmed(record.version)
+    private fun isConfirmed(record: GroupRecord) = record.isChanging && hasConfirmed(record.fence)
 
-    /** True once this host has stopped sending and acknowledging writes for the takeover of record [version]. */
-    public fun hasConfirmed(version: Long): Boolean = confirmedVersion == version
+    /** True once this host has stopped sending and acknowledging writes for the takeover under [fence]. */
+    public fun hasConfirmed(fence: Long): Boolean = confirmedFence == fence
 
     /** Applies a newer record of this group, which started or ended a takeover. */
     public fun onRecord(record: GroupRecord) {
         log.event(
-            "group", "record_changed", "group", id.value, "version", record.version, "fence", record.fence,
+            "group", "record_changed", "group", id.value, "position", record.position, "fence", record.fence,
             "primary", record.primary.value, "is_changing", record.isChanging, "holder", record.holder,
         )
         recordChangedAtMillis = timers.nowMillis()
@@ -351,12 +351,12 @@
         if (!record.isChanging || isConfirmed(record) || inFlightWrites.isNotEmpty()) return
         val isGraceOver = timers.nowMillis() - recordChangedAtMillis >= PLANNED_GRACE_MILLIS
         if (record.isPlanned && openTransactions.isNotEmpty() && !isGraceOver) return
-        confirmedVersion = record.version
+        confirmedFence = record.fence
         onConfirmed()
     }
 
     private fun abandonWrites(record: GroupRecord) {
-        if (records.record(id)?.version != record.version) return
+        if (records.record(id)?.isNewerThan(record) == true) return
         for (write in inFlightWrites.toList()) {
             if (record.isChanging || record.primary != write.target.entry.id) write.abandon()
         }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
@@ -2,11 +2,16 @@
 
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.engine.fleet.StorePosition
 
 /**
  * The stored record of which target takes the writes of one database group.
  *
- * @property version the row's version in the store; 0 when there is no row yet
+ * Records of a group are ordered by their fence, and under one fence the record of a takeover under way comes before
+ * its result. The store's positions don't order them: a store that was restored from an older copy has an older record
+ * at a newer position.
+ *
+ * @property position the position at which the store had this record when it was last seen there
  * @property fence the fencing token, which rises with each takeover and is sent with every promotion
  * @property primary the target that takes writes, or the one that did before the takeover under way
  * @property isChanging true from the start of a takeover until the new primary is published
@@ -16,11 +21,15 @@
  */
 public data class GroupRecord(
     val group: DatabaseId,
-    val version: Long,
+    val position: StorePosition,
     val fence: Long,
     val primary: TargetId,
     val isChanging: Boolean,
     val isPlanned: Boolean,
     val holder: String,
     val term: Long,
-)
+) {
+    /** True when this record follows [other], wherever the store has them. */
+    public fun isNewerThan(other: GroupRecord): Boolean =
+        compareValuesBy(this, other, { it.fence }, { !it.isChanging }) > 0
+}
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/RestoredStoreTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/RestoredStoreTest.kt
@@ -13,8 +13,8 @@
 
 /** What hosts do when the store comes back from a copy that lacks its newest rows and gives out their versions anew. */
 class RestoredStoreTest {
-    private val fixture = HostFixture(hostCount = 3)
-    private val timers = fixture.timers
+    private var fixture = HostFixture(hostCount = 3)
+    private val timers get() = fixture.timers
     private val write = Statement.Run(Access.WRITE, "WRITE 1 x")
 
     private fun primaryIds() = fixture.hosts.map { it.group(DatabaseId("g"))?.primary?.entry?.id?.value }
@@ -54,6 +54,36 @@
         assertEquals(listOf<String?>("r2", "r2", "r2"), primaryIds())
     }
 
+    @Test
+    fun `a confirmation of a takeover from before the restoration does not count for one after it`() {
+        fixture = HostFixture(hostCount = 5)
+        val copy = fixture.store.copy()
+        replace("p", replica = "r1")
+        fixture.store.restore(copy)
+        timers.advance(1_000)
+        fixture.targets.partitionedPaths += (1..4).map { "host-$it/r1" }
+        var isReplaced = false
+        var lateCommits = 0
+        var acknowledgedLate = 0
+        fixture.onPromoted = { isReplaced = true }
+        fixture.targets.onCommit = { target, _ -> if (isReplaced && target.id == "r1") lateCommits++ }
+        val caller = FakeCaller()
+        val session = fixture.open(caller, host = 0)
+        for (host in 1..4) fixture.open(FakeCaller(), host = host).onStatement("w", write)
+        timers.advance(BEFORE_CLAIM_MILLIS)
+        fixture.cutPaths += (1..4).map { "host-$it>host-0" }
+        fixture.hostsWithoutPlatform += "host-0"
+
+        repeat(200) {
+            val before = lateCommits
+            val answer = fixture.ask(session, caller, write, millis = 20)
+            if (lateCommits > before && answer != null && answer.error == null) acknowledgedLate++
+        }
+
+        assertTrue(isReplaced)
+        assertEquals(0, acknowledgedLate)
+    }
+
     @Test
     fun `a fence is not sent twice although the store and every host forgot it`() {
         val copy = fixture.store.copy()
@@ -111,4 +141,9 @@
         val calls = fixture.store.callCount - callsBefore
         assertTrue(calls <= 10 * fixture.hosts.size, "$calls calls of ${fixture.hosts.size} hosts in a second")
     }
+
+    private companion object {
+        /** From the loss of the primary to shortly before a host claims its takeover. */
+        const val BEFORE_CLAIM_MILLIS = 300L
+    }
 }
