Fences rise across the store's epochs

Cause: a fence was the one of the record plus one. When the store was restored to before a takeover and all hosts had restarted, the next takeover sent the same fence again.

Change: the first fence of each epoch lies above all fences that earlier epochs can have given out, whatever was lost.

RestoredStoreTest, a fence is not sent twice although the store and every host forgot it: [1, 1] before, rising now.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StorePosition.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StorePosition.kt
@@ -24,6 +24,9 @@
         /** The epoch of a store that names none. */
         public const val UNKNOWN_EPOCH: Long = 0
 
+        /** The epoch of a store that has never been restored. */
+        public const val FIRST_EPOCH: Long = 1
+
         /** The position before every other one. */
         public val START: StorePosition = StorePosition(epoch = UNKNOWN_EPOCH, version = -1)
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -104,7 +104,7 @@
         val record = GroupRecord(
             group = group.id,
             position = expected,
-            fence = (old?.fence ?: 0) + 1,
+            fence = GroupRecord.nextFence(old, expected.epoch),
             primary = primaryId,
             isChanging = true,
             isPlanned = isPlanned,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
@@ -32,4 +32,18 @@
     /** True when this record follows [other], wherever the store has them. */
     public fun isNewerThan(other: GroupRecord): Boolean =
         compareValuesBy(this, other, { it.fence }, { !it.isChanging }) > 0
+
+    public companion object {
+        /** More than the takeovers of one group in an epoch of the store. */
+        private const val FENCES_PER_EPOCH = 1_000_000L
+
+        /**
+         * The fence of a claim that follows [known], the newest known record if any, in [epoch] of the store. It
+         * exceeds all fences of earlier epochs, also those that the store lost and no host remembers.
+         */
+        public fun nextFence(known: GroupRecord?, epoch: Long): Long {
+            val lastOfEarlierEpochs = maxOf(0, epoch - StorePosition.FIRST_EPOCH) * FENCES_PER_EPOCH
+            return maxOf(known?.fence ?: 0, lastOfEarlierEpochs) + 1
+        }
+    }
 }
