A failed claim is followed by a read before the next one

Change: after a failed claim a host claims again only once it has read the store's rows anew, at the pace of StoreReader.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -46,6 +46,7 @@
     private var observedSinceMillis = 0L
     private var observed: GroupRecord? = null
     private var plannedNotBeforeMillis = GroupRecords.NEVER
+    private var claimFailedAtMillis = GroupRecords.NEVER
     private var tooFewAliveSinceMillis: Long? = null
     private var isCallUnderWay = false
     private val notRunning = HashSet<TargetId>()
@@ -98,6 +99,7 @@
     private fun claim(reason: String, isPlanned: Boolean, nowMillis: Long) {
         if (!groupRecords.isCurrent(nowMillis) || !fleet.agreesOnMembers(nowMillis)) return
         if (!canBlockMajority(nowMillis)) return
+        if (fleet.rowsSentAtMillis < claimFailedAtMillis) return fleet.refresh()
         val old = groupRecords.record(group.id)
         val expected = groupRecords.rowPosition(group.id)
         val primaryId = old?.primary ?: group.primary?.entry?.id ?: UNKNOWN_TARGET
@@ -137,7 +139,8 @@
     private fun abandonClaim(reason: String) {
         log.event("takeover", "stopped", "group", group.id.value, "reason", reason)
         phase = TakeoverPhase.Watching
-        plannedNotBeforeMillis = timers.nowMillis() + FAILED_CLAIM_PAUSE_MILLIS
+        claimFailedAtMillis = timers.nowMillis()
+        plannedNotBeforeMillis = claimFailedAtMillis + FAILED_CLAIM_PAUSE_MILLIS
         fleet.refresh()
     }
 
