A connection opened for a status query is taken before listeners run

Cause: when a suspected target answered again by opening a connection for a status query, the group was told of capacity first, could send a queued statement over that connection, and the status query followed on the same one. The statement's answer then could not release the connection: an IllegalStateException in the event loop, and a caller without an answer.

TargetTest failed before.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -181,11 +181,12 @@
     private val pendingControlStatements = ArrayDeque<PendingControlStatement>()
 
     internal fun opened(connection: PooledConnection, position: LogPosition?) {
+        val waiting = pendingControlStatements.removeFirstOrNull()
+        if (waiting != null) take(connection)
         recordContact(connection.dialedAtMillis)
         isRefusingConnections = false
         if (position != null) listener.onPosition(this, connection.dialedAtMillis, position)
         if (connection === probe) probe = null
-        val waiting = pendingControlStatements.removeFirstOrNull()
         if (waiting != null) controlOn(connection, waiting.statement, waiting.done)
         listener.onCapacity(this)
     }
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetTest.kt
@@ -0,0 +1,66 @@
+package dev.cardamomlane.engine.target
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.ManualTimerService
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.engine.FakeTargets
+import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.session.SessionState
+import dev.cardamomlane.engine.statement.TargetStatement
+import kotlin.test.Test
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+class TargetTest {
+    private val timers = ManualTimerService()
+    private val targets = FakeTargets(timers)
+    private val target = Target(entry("p"), timers, targets, DecisionLog.None, UsesEachIdleConnection())
+    private var answered = 0
+
+    private fun entry(id: String) = TargetEntry(
+        id = TargetId(id),
+        group = DatabaseId("g"),
+        address = id,
+        zone = "a",
+        slotCount = 5,
+        isDraining = false,
+        isPrimary = true,
+        startedAtUnixMillis = 1,
+    )
+
+    /** Sends a statement over an idle connection whenever there is capacity, as a group with queued work does. */
+    private inner class UsesEachIdleConnection : TargetListener {
+        override fun onCapacity(target: Target) {
+            val connection = target.idle("press", SessionState(emptyMap(), emptyList())) ?: return
+            target.take(connection)
+            connection.execute(TargetStatement.Run("id", "READ 1", after = null)) {
+                answered++
+                connection.releaseOrClose(it)
+            }
+        }
+
+        override fun onUnreachable(target: Target) = Unit
+
+        override fun onPosition(target: Target, sentAtMillis: Long, position: LogPosition) = Unit
+    }
+
+    @Test
+    fun `a connection that is opened for a status query is not used for a statement before it`() {
+        targets.target("p").isSilent = true
+        target.status("press") { _, _ -> }
+        repeat(10) {
+            timers.advance(100)
+            target.tick(probeCustomer = null)
+        }
+        assertNotNull(target.unreachableSinceMillis)
+        targets.target("p").isSilent = false
+        var status: TargetStatus? = null
+        target.status("press") { found, _ -> status = found }
+
+        timers.advance(100)
+
+        assertNotNull(status)
+        assertTrue(answered > 0)
+    }
+}
