The rows of a restored store prove nothing until a member has settled its epoch

Cause: an answer of the store was proof that its records are the newest. After a restoration it may lack a takeover: hosts that started then took the replaced primary for the primary, with proof. Rows of members were taken as they came, so that a member whose seat the copy lacked lost it for a moment, and nobody wrote a lost record back.

Change: the row `epoch` names the settled epoch of the store. While it is older than the store's, rows are no proof; members keep their records and members and have proof from a majority of those that remember. The first one with proof newer than the restoration writes, in one transaction, what the rows lack and the row `epoch`. Without such a majority, the first member asks the targets for the primary of the latest term (PrimarySurvey), and claims a takeover where they don't show it. All control rows are written by typed changes (ControlChange) that expect the row `epoch` as it was read, so a write from before can't hit a version that was given out again. A promotion needs the claim to stand in rows read after the wait for old proof. Seats moved out of Fleet into SeatKeeper; the queries of all targets are shared with takeovers (StatusQuery).

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -44,7 +44,7 @@
     zones: List<String>,
     override val timers: TimerService,
     private val dialer: TargetDialer,
-    private val store: ControlStore,
+    store: ControlStore,
     network: PeerNetwork,
     hostDialer: HostDialer,
     private val promotion: PromotionCall,
@@ -53,11 +53,11 @@
 ) : SessionServices,
     HeartbeatDelegate {
     private val groupRecords = GroupRecords()
-    private val fleet = Fleet(self, zones, timers, store, network, groupRecords, log, this)
+    private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
+    private val fleet = Fleet(self, zones, { groups.values }, timers, store, network, groupRecords, log, this)
     private val forwarded = ForwardedOperations(this, timers) { fleet.isRegistered && !isClosing }
     private val limits = CustomerLimits(fleet, groupRecords, timers)
     private val cutOff = CutOffWatch(fleet, groupRecords, timers, log)
-    private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
     private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
     private val sessions = LinkedHashSet<CallerSession>()
     private var entries: List<TargetEntry> = emptyList()
@@ -316,10 +316,9 @@
         group.onConfirmed = fleet::heartbeat
         group.onPrimaryUnreachable = { fleet.heartbeatSoon(Fleet.URGENT_HEARTBEAT_GAP_MILLIS) }
         takeovers[id] = Takeover(
-            self = "${self.name}#${self.incarnation}",
+            self = self.run,
             group = group,
             fleet = fleet,
-            store = store,
             promotion = promotion,
             timers = timers,
             log = log,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.fleet
 
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.log.DecisionLog
 import kotlin.random.Random
 
@@ -19,26 +20,42 @@
  * Not safe for use by several threads.
  *
  * @param zones every availability zone, in the same order on all hosts
+ * @param groups the database groups that this host knows
  */
 public class Fleet(
     private val self: Member,
     zones: List<String>,
+    groups: () -> Collection<DatabaseGroup>,
     private val timers: TimerService,
-    private val store: ControlStore,
+    store: ControlStore,
     private val network: PeerNetwork,
     public val groupRecords: GroupRecords,
     private val log: DecisionLog,
     private val delegate: HeartbeatDelegate,
 ) {
     private val random = Random(self.name.hashCode() + self.incarnation)
-    private val seats = SeatPolicy(self, zones, SeatPolicy.SEAT_COUNT, random)
-    private var rows: List<MemberRow> = emptyList()
     private val peersByName = sortedMapOf<String, Peer>()
-    private val storeReader = StoreReader(timers, store, log, random, ::onRows)
+
+    /** The control rows in the store. */
+    public val controlTable: ControlTable = ControlTable(store)
+    private val storeReader = StoreReader(timers, controlTable, log, random, ::onRows)
+    private val seatPolicy = SeatPolicy(self, zones, SeatPolicy.SEAT_COUNT, random)
+    private val seatKeeper = SeatKeeper(self, seatPolicy, controlTable, storeReader, timers, log)
+    private val settlement = EpochSettlement(self.run, this, controlTable, groups, timers, log)
     private var tickedAtMillis = GroupRecords.NEVER
-    private var isSeatReadScheduled = false
     private var wasRegistered = false
 
+    /** The members' rows that count: the newest ones that were read, unless those may be older than what is known. */
+    internal var rows: List<MemberRow> = emptyList()
+        private set
+
+    /**
+     * True when this host knows every record that a takeover was made under since it became a member: it read the rows
+     * of a settled epoch then, and has been a member ever since.
+     */
+    internal var isInformed: Boolean = false
+        private set
+
     /** The members as a host without a seat knows them. */
     public val directory: MemberDirectory = MemberDirectory(self, timers, network, log, random)
 
@@ -51,12 +68,15 @@
         private set
 
     private val membersListeners = ArrayList<(Set<String>) -> Unit>()
-    private var isRegistering = false
     private var membersHash = 0
     private var heartbeatAtMillis = GroupRecords.NEVER
     private var isEarlyHeartbeatScheduled = false
     private val removalTriedAtMillis = HashMap<String, Long>()
 
+    init {
+        controlTable.onRestored { if (isRegistered) refresh() }
+    }
+
     /** The other members, alive or not. */
     public val peers: Collection<Peer> get() = peersByName.values
 
@@ -97,6 +117,7 @@
         heartbeat()
         renewProofFromMajority(nowMillis)
         storeReader.refresh(groupRecords.provedAtMillis)
+        settlement.tick(nowMillis)
         removeDeadMembers(nowMillis)
     }
 
@@ -127,6 +148,7 @@
                 proofAgeMillis = if (groupRecords.isCurrent(nowMillis)) nowMillis - groupRecords.provedAtMillis else -1,
                 membersHash = membersHash,
                 configurationVersion = delegate.configurationVersion,
+                isInformed = isInformed,
                 isReady = delegate.isReady,
                 heardMembers = heardMembers,
                 groups = groups,
@@ -188,7 +210,7 @@
         val nowMillis = timers.nowMillis()
         if (!peer.receive(heartbeat, self.incarnation, nowMillis)) return
         val records = heartbeat.groups.mapNotNull { it.record() }
-        val hasProof = isRegistered && heartbeat.proofAgeMillis >= 0 && peer.sentNotBeforeMillis > GroupRecords.NEVER
+        val hasProof = isInformed && heartbeat.proofAgeMillis >= 0 && peer.sentNotBeforeMillis > GroupRecords.NEVER
         groupRecords.learn(
             records,
             if (hasProof) peer.sentNotBeforeMillis - heartbeat.proofAgeMillis else GroupRecords.NEVER,
@@ -219,10 +241,12 @@
     /**
      * Renews proof from heartbeats. A takeover promotes only some time after [blockingCount] members knew its
      * record, so every majority, this host included, has one of them. The proof is as old as the oldest heartbeat.
+     * Members that may have forgotten a record don't count.
      */
     private fun renewProofFromMajority(nowMillis: Long) {
-        if (!isRegistered) return
-        val sendTimesMillis = peersByName.values.filter { it.lastHeartbeat?.membersHash == membersHash }
+        if (!isRegistered || !isInformed) return
+        val sendTimesMillis = peersByName.values
+            .filter { it.lastHeartbeat?.membersHash == membersHash && it.lastHeartbeat?.isInformed == true }
             .map { it.sentNotBeforeMillis }
         val needed = majority - 1
         if (needed == 0 || sendTimesMillis.size < needed) return
@@ -230,18 +254,35 @@
         if (nowMillis - sinceMillis < GroupRecords.MAX_AGE_MILLIS) groupRecords.learn(emptyList(), sinceMillis)
     }
 
-    /** Rows count as proof only for a member: a takeover does not wait for other hosts. */
-    private fun onRows(rows: ControlRows, sentAtMillis: Long) {
-        this.rows = rows.members
+    /** Handles rows that were read from the store. Those of an epoch that is not settled may be older than this host's. */
+    private fun onRows(newer: ControlRows, sentAtMillis: Long) {
+        controlTable.rows = newer
+        settlement.onRows(newer)
+        if (newer.isSettled) return adopt(newer, sentAtMillis)
+        groupRecords.learnRows(newer, GroupRecords.NEVER)
+        if (settlement.isUnattended(timers.nowMillis()) && !groupRecords.isCurrent(timers.nowMillis())) {
+            isInformed = false
+            adopt(newer, sentAtMillis)
+        } else if (!isRegistered) {
+            directory.onRows(otherMembers(newer))
+        }
+    }
+
+    /** Rows count as proof only for a member, since a takeover does not wait for other hosts, and in a settled epoch. */
+    private fun adopt(newer: ControlRows, sentAtMillis: Long) {
+        rows = newer.members
         rowsSentAtMillis = sentAtMillis
-        groupRecords.learnRows(rows, if (isRegistered) sentAtMillis else GroupRecords.NEVER)
-        val members = rows.members.map { it.member }.filter { it.name != self.name }.distinctBy { it.name }
+        isInformed = isRegistered && (isInformed || newer.isSettled)
+        groupRecords.learnRows(newer, if (isInformed) sentAtMillis else GroupRecords.NEVER)
+        val members = otherMembers(newer)
         updatePeers(members)
         if (!isRegistered) directory.onRows(members)
-        takeSeat()
-        removeSurplusRows()
+        seatKeeper.onRows(rows, directory.isStranded(timers.nowMillis()))
     }
 
+    private fun otherMembers(rows: ControlRows): List<Member> =
+        rows.members.map { it.member }.filter { it.name != self.name }.distinctBy { it.name }
+
     private fun updatePeers(members: List<Member>) {
         val names = members.mapTo(HashSet()) { it.name }
         val before = if (hasReadMembers) peersByName.keys.toSet() else null
@@ -260,41 +301,9 @@
         heartbeat()
     }
 
-    private fun takeSeat() {
-        if (isRegistering) return
-        val nowMillis = timers.nowMillis()
-        val claim = seats.claim(rows, directory.isStranded(nowMillis), nowMillis) ?: return readAgainForSeat(nowMillis)
-        isRegistering = true
-        store.writeMember(claim.seat, self, claim.expectedVersion).doFinally { isRegistering = false }.subscribe(
-            { outcome ->
-                log.event("fleet", "registration", "seat", claim.seat, "outcome", outcome)
-                storeReader.read()
-            },
-            { failure -> log.event("fleet", "registration_failed", "reason", failure.message) },
-        )
-    }
-
-    private fun readAgainForSeat(nowMillis: Long) {
-        val delayMillis = seats.dueInMillis(nowMillis) ?: return
-        if (isSeatReadScheduled) return
-        isSeatReadScheduled = true
-        timers.after(delayMillis) {
-            isSeatReadScheduled = false
-            storeReader.read()
-        }
-    }
-
-    private fun removeSurplusRows() {
-        for (row in seats.surplus(rows)) {
-            log.event("fleet", "surplus_seat_vacated", "seat", row.seat)
-            store.removeMember(row.seat, row.version).subscribe({}, { failure ->
-                log.event("fleet", "surplus_seat_kept", "seat", row.seat, "reason", failure.message)
-            })
-        }
-    }
-
     private fun removeDeadMembers(nowMillis: Long) {
-        if (!groupRecords.isCurrent(nowMillis) || rank(nowMillis) != 0 || aliveCount(nowMillis) < majority) return
+        if (!controlTable.isSettled || !groupRecords.isCurrent(nowMillis)) return
+        if (rank(nowMillis) != 0 || aliveCount(nowMillis) < majority) return
         for (peer in peersByName.values.toList()) {
             if (peer.isAlive(nowMillis, DEAD_MILLIS) || isNewlyListed(peer, nowMillis)) continue
             val name = peer.member.name
@@ -304,9 +313,10 @@
             if (isAliveElsewhere || row == null || isTried) continue
             removalTriedAtMillis[name] = nowMillis
             log.event("fleet", "member_dropped", "member", name, "seat", row.seat)
-            store.removeMember(row.seat, row.version).subscribe({ storeReader.read() }, { failure ->
-                log.event("fleet", "member_kept", "member", name, "reason", failure.message)
-            })
+            controlTable.writeSeat(SeatChange(row.seat, member = null, row.version)).subscribe(
+                { storeReader.read() },
+                { failure -> log.event("fleet", "member_kept", "member", name, "reason", failure.message) },
+            )
         }
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupRecords.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupRecords.kt
@@ -33,6 +33,9 @@
         listeners += listener
     }
 
+    /** The newest known record of each group. */
+    internal val all: Collection<GroupRecord> get() = records.values
+
     /** The record of [group], or null when no takeover of it is known. */
     public fun record(group: DatabaseId): GroupRecord? = records[group]
 
@@ -76,10 +79,17 @@
             if (record.isChanging && !wasChanging) proofBeforeTakeoverMillis[record.group] = provedAtMillis
             records[record.group] = record
         }
+        received.filter(::isSeenLater).forEach { records[it.group] = it }
         provedAtMillis = maxOf(provedAtMillis, newestAtMillis)
         for (record in newer) listeners.forEach { it(record) }
     }
 
+    /** True when [record] is the known one, seen at a newer position. */
+    private fun isSeenLater(record: GroupRecord): Boolean {
+        val known = records[record.group] ?: return false
+        return record.position > known.position && !known.isNewerThan(record)
+    }
+
     public companion object {
         /**
          * The age up to which proof counts. A takeover that lacks the confirmation of a host waits longer than this.
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Heartbeat.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Heartbeat.kt
@@ -17,6 +17,7 @@
  * @property proofAgeMillis age of the sender's proof, as [GroupRecords] defines it, or -1 when it is too old
  * @property membersHash equal on hosts that know the same members
  * @property configurationVersion the newest configuration that the sender knows
+ * @property isInformed true when the sender has known every group record since it became a member, see [Fleet.isInformed]
  * @property isReady true while the sender takes new operations
  * @property heardMembers the members that recently sent the sender a heartbeat
  */
@@ -31,6 +32,7 @@
     val proofAgeMillis: Long,
     val membersHash: Int,
     val configurationVersion: Long,
+    val isInformed: Boolean,
     val isReady: Boolean,
     val heardMembers: List<String>,
     val groups: List<GroupStatus>,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Member.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Member.kt
@@ -19,4 +19,7 @@
     val snapshotAddress: String,
     val zone: String = "",
     val cores: Double = 1.0,
-)
+) {
+    /** Names this incarnation of the host in group records. */
+    val run: String get() = "$name#$incarnation"
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreReader.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreReader.kt
@@ -12,7 +12,7 @@
  */
 internal class StoreReader(
     private val timers: TimerService,
-    private val store: ControlStore,
+    private val table: ControlTable,
     private val log: DecisionLog,
     private val random: Random,
     private val onRows: (ControlRows, Long) -> Unit,
@@ -52,7 +52,7 @@
         isReading = true
         isReadRequested = false
         readAtMillis = nowMillis
-        store.read().doFinally { onReadEnded() }.subscribe({ onResult(it, nowMillis) }, ::onFailure)
+        table.read().doFinally { onReadEnded() }.subscribe({ onResult(it, nowMillis) }, ::onFailure)
     }
 
     private fun onReadEnded() {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -5,6 +5,7 @@
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.GroupRecord
 import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.target.StatusQuery
 import dev.cardamomlane.engine.target.Target
 import dev.cardamomlane.engine.target.TargetStatus
 
@@ -32,7 +33,6 @@
     private val self: String,
     private val group: DatabaseGroup,
     private val fleet: Fleet,
-    private val store: ControlStore,
     private val promotion: PromotionCall,
     private val timers: TimerService,
     private val log: DecisionLog,
@@ -40,6 +40,7 @@
     private val customerName: () -> String?,
 ) {
     private val groupRecords = fleet.groupRecords
+    private val table = fleet.controlTable
     private val trigger = ReplacementTrigger(group, fleet, customerName)
     private val demotions = Demotions(group, customerName)
     private var phase: TakeoverPhase = TakeoverPhase.Watching
@@ -97,12 +98,12 @@
     }
 
     private fun claim(reason: String, isPlanned: Boolean, nowMillis: Long) {
-        if (!groupRecords.isCurrent(nowMillis) || !fleet.agreesOnMembers(nowMillis)) return
+        if (!groupRecords.isCurrent(nowMillis) || !fleet.agreesOnMembers(nowMillis) || !table.isSettled) return
         if (!canBlockMajority(nowMillis)) return
         if (fleet.rowsSentAtMillis < claimFailedAtMillis) return fleet.refresh()
         val old = groupRecords.record(group.id)
         val expected = groupRecords.rowPosition(group.id)
-        val primaryId = old?.primary ?: group.primary?.entry?.id ?: UNKNOWN_TARGET
+        val primaryId = old?.primary ?: group.primary?.entry?.id ?: GroupRecord.NO_TARGET
         val record = GroupRecord(
             group = group.id,
             position = expected,
@@ -119,7 +120,7 @@
             "proof_age_ms", nowMillis - groupRecords.provedAtMillis,
         )
         phase = TakeoverPhase.Claiming
-        store.writeRecord(record, expected.version).subscribe(
+        table.writeRecord(record, expected.version).subscribe(
             { onClaim(it, record) },
             { failure -> abandonClaim("claim failed: ${failure.message}") },
         )
@@ -152,7 +153,8 @@
         }
         if (!isConfirmed && !hasOldProofExpired(now, nowMillis)) return
         log.event("takeover", "drained", "group", group.id.value, "is_confirmed", isConfirmed)
-        phase = TakeoverPhase.Querying(now.record, startedAtMillis = nowMillis)
+        val readNotBeforeMillis = if (isConfirmed) now.claimedAtMillis else nowMillis
+        phase = TakeoverPhase.Querying(now.record, startedAtMillis = nowMillis, readNotBeforeMillis)
     }
 
     /**
@@ -188,17 +190,9 @@
         val queried = group.targets.filter { it.goneAtMillis == null && (it.unreachableSinceMillis == null || isLate) }
         if (queried.isEmpty()) return
         isCallUnderWay = true
-        val answers = LinkedHashMap<Target, TargetStatus>()
-        var left = queried.size
-        for (target in queried) {
-            target.status(customer) { status, _ ->
-                if (status != null) answers[target] = status
-                left--
-                if (left == 0) {
-                    isCallUnderWay = false
-                    if (phase === now) decide(now, answers)
-                }
-            }
+        StatusQuery.run(queried, customer) { answers ->
+            isCallUnderWay = false
+            if (phase === now) decide(now, answers)
         }
     }
 
@@ -209,7 +203,9 @@
             status.isPrimary && target.entry.id != record.primary && status.term > record.term
         }.maxByOrNull { it.value.term }
         if (promoted != null) return publishAs(record, promoted.key, promoted.value.term)
-        val old = answers.entries.firstOrNull { it.key.entry.id == record.primary && it.value.isPrimary }
+        val old = answers.entries.firstOrNull { (target, status) ->
+            status.isPrimary && target.entry.id == record.primary && status.term >= record.term
+        }
         val candidates = answers.filter { (target, status) ->
             !status.isPrimary && trigger.isEligible(target) && target.entry.id !in notRunning
         }
@@ -224,7 +220,7 @@
             record.isPlanned && old != null && best.value.received < old.value.received ->
                 if (isCatchUpOver) giveUp(record, old.key, "no replica caught up")
             mustQueryAllReplicas() && !hasAllReplicas(record, answers) && waitedMillis < ALL_REPLICAS_MILLIS -> Unit
-            else -> promote(record, best.key, best.value, nowMillis)
+            else -> promote(now, best.key, best.value, nowMillis)
         }
     }
 
@@ -238,11 +234,11 @@
         phase = TakeoverPhase.Publishing(record, old.entry.id, record.term)
     }
 
-    private fun promote(record: GroupRecord, target: Target, status: TargetStatus, nowMillis: Long) {
-        if (nowMillis - groupRecords.provedAtMillis > PROMOTION_PROOF_MILLIS) {
-            fleet.refresh()
-            return
-        }
+    private fun promote(now: TakeoverPhase.Querying, target: Target, status: TargetStatus, nowMillis: Long) {
+        val record = now.record
+        val isRowsOld = fleet.rowsSentAtMillis < now.readNotBeforeMillis
+        if (isRowsOld || nowMillis - groupRecords.provedAtMillis > PROMOTION_PROOF_MILLIS) return fleet.refresh()
+        if (!isClaimStored(record)) return abandonClaim("the store does not have the claim any more")
         log.event(
             "takeover", "promote", "group", group.id.value, "target", target.entry.id.value, "fence", record.fence,
             "received", status.received, "term", status.term,
@@ -254,17 +250,29 @@
         )
     }
 
+    /** False after the store was restored to before the claim, unless another member has put it back. */
+    private fun isClaimStored(record: GroupRecord): Boolean {
+        val known = groupRecords.record(group.id)
+        return known?.fence == record.fence && known.position == groupRecords.rowPosition(group.id)
+    }
+
     private fun onPromotion(target: Target, outcome: PromotionOutcome) {
         log.event("takeover", "promote_answer", "group", group.id.value, "outcome", outcome)
         val now = phase
         if (outcome != PromotionOutcome.NOT_RUNNING || now !is TakeoverPhase.Promoting || now.target !== target) return
         notRunning += target.entry.id
-        phase = TakeoverPhase.Querying(now.record, startedAtMillis = timers.nowMillis())
+        phase = querying(now.record)
+    }
+
+    /** Starts to query the targets anew after a promotion that failed. */
+    private fun querying(record: GroupRecord): TakeoverPhase {
+        val nowMillis = timers.nowMillis()
+        return TakeoverPhase.Querying(record, startedAtMillis = nowMillis, readNotBeforeMillis = nowMillis)
     }
 
     private fun awaitPromotion(now: TakeoverPhase.Promoting, nowMillis: Long) {
         if (nowMillis - now.sentAtMillis > PROMOTION_TIMEOUT_MILLIS) {
-            phase = TakeoverPhase.Querying(now.record, startedAtMillis = nowMillis)
+            phase = querying(now.record)
             return
         }
         val customer = customerName()
@@ -287,7 +295,7 @@
         val expected = groupRecords.rowPosition(group.id)
         val record =
             now.record.copy(position = expected, primary = now.primary, isChanging = false, term = now.term)
-        store.writeRecord(record, expected.version).doFinally { isCallUnderWay = false }.subscribe(
+        table.writeRecord(record, expected.version).doFinally { isCallUnderWay = false }.subscribe(
             { onPublished(now, record, it) },
             { failure -> log.event("takeover", "publish_failed", "reason", failure.message) },
         )
@@ -313,9 +321,6 @@
     }
 
     private companion object {
-        /** The old primary in the record when neither an older record nor the targets name one. */
-        val UNKNOWN_TARGET = TargetId("-")
-
         /** A claim waits this much longer for each step of [Fleet.rank], so that hosts claim one after another. */
         const val RANK_STEP_MILLIS = 60L
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverPhase.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverPhase.kt
@@ -18,8 +18,11 @@
         var informedAtMillis: Long? = null
     }
 
-    /** Queries the targets until one can be promoted or the old primary is kept. */
-    class Querying(val record: GroupRecord, val startedAtMillis: Long) : TakeoverPhase
+    /**
+     * Queries the targets until one can be promoted or the old primary is kept. Rows that were read no earlier than
+     * [readNotBeforeMillis] must still have the claim.
+     */
+    class Querying(val record: GroupRecord, val startedAtMillis: Long, val readNotBeforeMillis: Long) : TakeoverPhase
 
     /** The promotion of [target] was ordered and is not known to be done. */
     class Promoting(val record: GroupRecord, val target: Target, val sentAtMillis: Long) : TakeoverPhase
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -59,6 +59,9 @@
     /** The listed targets, and those that are no longer listed but still kept for a while. */
     public val targets: Collection<Target> get() = targetsById.values
 
+    /** The targets that the newest list names. */
+    internal val listedTargets: List<Target> get() = targetsById.values.filter { it.goneAtMillis == null }
+
     /**
      * The target that the newest record names as primary. Without a record, the only target that reports to be primary.
      */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
@@ -17,7 +17,7 @@
  * @property isChanging true from the start of a takeover until the new primary is published
  * @property isPlanned true when the old primary still works, so that open transactions may finish before the takeover
  * @property holder the host and incarnation that runs or ran the takeover, as `host#incarnation`
- * @property term the log term of [primary], or 0 when unknown
+ * @property term the log term of [primary], or an earlier one when that is not known
  */
 public data class GroupRecord(
     val group: DatabaseId,
@@ -34,6 +34,9 @@
         compareValuesBy(this, other, { it.fence }, { !it.isChanging }) > 0
 
     public companion object {
+        /** The primary in a record when none is known. */
+        public val NO_TARGET: TargetId = TargetId("-")
+
         /** More than the takeovers of one group in an epoch of the store. */
         private const val FENCES_PER_EPOCH = 1_000_000L
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -31,10 +31,10 @@
     /** The network paths that lose everything, as `host/target`. */
     val partitionedPaths = HashSet<String>()
 
-    /** The dialer of one host, which [partitionedPaths] affect. */
-    fun dialerFor(host: String): TargetDialer = object : TargetDialer by this {
+    /** The dialer of one host, which [partitionedPaths] affect. Its connections carry nothing while not [isRunning]. */
+    fun dialerFor(host: String, isRunning: () -> Boolean): TargetDialer = object : TargetDialer by this {
         override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
-            open(target, customerName, listener) { "$host/${target.id.value}" in partitionedPaths }
+            open(target, customerName, listener) { !isRunning() || "$host/${target.id.value}" in partitionedPaths }
     }
 
     override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -93,8 +93,8 @@
             self = Member(name, incarnation, address = name, snapshotAddress = name, zone = "a"),
             zones = listOf("a"),
             timers = process,
-            dialer = targets.dialerFor(name),
-            store = PartitionableStore(store) { name in hostsWithoutPlatform },
+            dialer = targets.dialerFor(name) { process.isRunning },
+            store = PartitionableStore(store) { !process.isRunning || name in hostsWithoutPlatform },
             network = { address, message -> if (process.isRunning) deliver(name, address, message) },
             hostDialer = links.dialerFor(name),
             promotion = { _, target, holder, fence ->
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.fleet
 
 import dev.cardamomlane.engine.FakeCaller
+import dev.cardamomlane.engine.FakeStore
 import dev.cardamomlane.engine.FakeTarget
 import dev.cardamomlane.engine.HostFixture
 import dev.cardamomlane.engine.session.CallerSession
@@ -11,9 +12,13 @@
 /**
  * One schedule: [hostCount] hosts, three targets, and faults drawn from a seed. Records which writes the targets ran and which
  * answers the callers got, and compares them.
+ *
+ * @param hasRestores whether the store is also restored from older copies, and hosts restart
  */
-class FleetSimulation(seed: Int, private val hostCount: Int = 5) {
+class FleetSimulation(seed: Int, private val hostCount: Int = 5, private val hasRestores: Boolean = false) {
     private val random = Random(seed)
+    private val restoreRandom = Random(-seed)
+    private val copies = ArrayDeque<FakeStore.Copy>()
     private val fixture = HostFixture(hostCount, settleMillis = 2_000)
     private val timers = fixture.timers
     private val ids = listOf("p", "r1", "r2")
@@ -29,6 +34,9 @@
         Caller(0, "latest")
 
     val promotionCount: Int get() = fixture.promotions.size
+    val fences: List<Long> get() = fixture.promotions.map { it.second }
+    var restoreCount = 0
+        private set
     val acknowledgedCount: Int get() = acknowledgedAtMillis.size
 
     /** Runs the schedule and returns a line for each violation. */
@@ -41,6 +49,7 @@
             replicate()
             callers.forEach { it.step() }
             if (step % FAULT_STEPS == 0) injectFault()
+            if (hasRestores) restoreAndRestart(step)
         }
         endFaults()
         timers.advance(5_000)
@@ -65,6 +74,32 @@
         }
     }
 
+    private fun restoreAndRestart(step: Int) {
+        if (step % COPY_STEPS == 0) copies.addLast(fixture.store.copy())
+        if (copies.size > MAX_COPIES) copies.removeFirst()
+        if (step % RESTORE_STEPS != RESTORE_STEPS - 1) return
+        if (restoreRandom.nextInt(3) != 0) restore()
+        when (restoreRandom.nextInt(4)) {
+            0 -> repeat(hostCount, ::restart)
+            1 -> repeat(hostCount / 2) { restart(restoreRandom.nextInt(hostCount)) }
+            2 -> restart(restoreRandom.nextInt(hostCount))
+            else -> Unit
+        }
+    }
+
+    private fun restore() {
+        val copy = copies.random(restoreRandom)
+        copies.clear()
+        copies += copy
+        fixture.store.restore(copy)
+        restoreCount++
+    }
+
+    private fun restart(index: Int) {
+        fixture.restart(index)
+        callers.filter { it.host == index }.forEach { it.onHostLost() }
+    }
+
     /** One or two hosts keep the primary and lose everything else; the other hosts lose the primary. */
     private fun splitFleet() {
         val kept = List(2) { random.nextInt(hostCount) }.toSet()
@@ -142,7 +177,7 @@
     private class Read(val mustSee: Set<String>)
 
     /** A caller that sends writes and reads at random, the next one once it has the answer to the last. */
-    private inner class Caller(private val host: Int, private val database: String) {
+    private inner class Caller(val host: Int, private val database: String) {
         private var link = FakeCaller()
         private var session: CallerSession? = null
         private var unanswered: String? = null
@@ -176,6 +211,13 @@
             return session
         }
 
+        /** The host was killed: the statement under way is never answered. */
+        fun onHostLost() {
+            unanswered?.let(reads::remove)
+            unanswered = null
+            session = null
+        }
+
         fun collectAnswer() {
             val text = unanswered
             if (link.answers.size > collectedCount && text != null) {
@@ -210,6 +252,13 @@
         /** The number of steps from one fault to the next. */
         const val FAULT_STEPS = 110
 
+        /** The number of steps from one copy of the store to the next, and from one restoration or restart to the next. */
+        const val COPY_STEPS = 20
+        const val RESTORE_STEPS = 130
+
+        /** How many copies are kept; the oldest is ten seconds old. */
+        const val MAX_COPIES = 20
+
         /** Must equal the `maxStaleMillis` of the routes in [HostFixture]. */
         const val MAX_STALE_MILLIS = 1_500L
     }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
@@ -9,7 +9,7 @@
     fun `a decoded heartbeat equals the encoded one`() {
         val status = GroupStatus("g", StorePosition(1, 7), 2, "t", true, false, "h#1", 3, 3, 99, 10, 5, listOf("u"), 1)
         val demand = listOf(CustomerDemand("press", 0f, 0))
-        val heartbeat = Heartbeat(1, -1, 0, 0, 20, 42, 7, true, listOf("b"), listOf(status), demand)
+        val heartbeat = Heartbeat(1, -1, 0, 0, 20, 42, 7, true, true, listOf("b"), listOf(status), demand)
         val sent = PeerMessage("a", incarnation = 0, heartbeat)
 
         assertEquals(sent, PeerCodec.decode(PeerCodec.encode(sent)))
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/RestoredStoreTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/RestoredStoreTest.kt
@@ -126,6 +126,92 @@
         assertNull(fixture.ask(fixture.open(caller), caller, write)?.error)
     }
 
+    @Test
+    fun `members that restarted after the copy was made go on serving, and the store names them again`() {
+        fixture = HostFixture(hostCount = 5)
+        val copy = fixture.store.copy()
+        for (index in 0..1) fixture.restart(index)
+        timers.advance(1_000)
+        val members = fixture.store.seats.map { it.member }
+        fixture.store.restore(copy)
+        val callers = fixture.hosts.indices.map { FakeCaller() }
+        val sessions = callers.mapIndexed { index, caller -> fixture.open(caller, host = index) }
+
+        repeat(100) {
+            for (index in sessions.indices) {
+                assertNull(fixture.ask(sessions[index], callers[index], write, millis = 10)?.error)
+            }
+        }
+
+        assertEquals(members.toSet(), fixture.store.seats.map { it.member }.toSet())
+    }
+
+    @Test
+    fun `the record that the store lost is put back`() {
+        val copy = fixture.store.copy()
+        replace("p", replica = "r1")
+        val record = fixture.store.written.last()
+        fixture.store.restore(copy)
+
+        timers.advance(1_000)
+
+        val putBack = fixture.store.written.last()
+        assertEquals(record.copy(position = putBack.position), putBack)
+        assertEquals(2, putBack.position.epoch)
+    }
+
+    private fun returnAsReplica(id: String) {
+        fixture.targets.target(id).isPrimary = false
+        fixture.targets.target(id).isDown = false
+    }
+
+    @Test
+    fun `hosts that all restart with a restored store serve again within four seconds`() {
+        val copy = fixture.store.copy()
+        replace("p", replica = "r1")
+        returnAsReplica("p")
+        fixture.store.restore(copy)
+        restartAll()
+
+        timers.advance(4_000)
+
+        val caller = FakeCaller()
+        assertNull(fixture.ask(fixture.open(caller), caller, write)?.error)
+        assertTrue("WRITE 1 x" in fixture.targets.target("r1").ran)
+    }
+
+    @Test
+    fun `a target that does not answer holds up hosts that all restarted, but not for good`() {
+        val copy = fixture.store.copy()
+        replace("p", replica = "r1")
+        returnAsReplica("p")
+        fixture.targets.target("r1").isSilent = true
+        fixture.store.restore(copy)
+        restartAll()
+
+        timers.advance(5_000)
+        assertTrue(fixture.hosts.none { it.isReady })
+        fixture.targets.target("r2").position = LogPosition(5, 9)
+        timers.advance(10_000)
+
+        val caller = FakeCaller()
+        assertNull(fixture.ask(fixture.open(caller), caller, write)?.error)
+    }
+
+    @Test
+    fun `a store that has been restored often costs a quiet fleet no more calls`() {
+        fixture = HostFixture(hostCount = 20, settleMillis = 3_000)
+        repeat(3) {
+            fixture.store.restore(fixture.store.copy())
+            timers.advance(2_000)
+        }
+        val before = fixture.store.callCount
+
+        timers.advance(10_000)
+
+        assertTrue(fixture.store.callCount - before <= 50, "${fixture.store.callCount - before} calls in 10 s")
+    }
+
     @Test
     fun `claims pause while the store refuses them`() {
         writeEverywhere()
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -128,6 +128,7 @@
         proofAgeMillis = 0,
         membersHash = 0,
         configurationVersion = configurationVersion,
+        isInformed = true,
         isReady = true,
         heardMembers = emptyList(),
         groups = emptyList(),
