A restored list of targets does not bring back what the targets have left behind

Cause: the list of targets was taken as the store had it. A copy some seconds old lists a target that has left, calls one ready that is leaving, and lacks one that has started since, until the targets have written their entries again.

Change: for 5 s after a restoration TargetList keeps the newer entry of each target by the target's own order, its start and its count of reports; keeps targets that the list lacks; and takes back none that had left unless it reports anew.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -16,6 +16,7 @@
 import dev.cardamomlane.engine.fleet.PeerMessage
 import dev.cardamomlane.engine.fleet.PeerNetwork
 import dev.cardamomlane.engine.fleet.PromotionCall
+import dev.cardamomlane.engine.fleet.StorePosition
 import dev.cardamomlane.engine.fleet.Takeover
 import dev.cardamomlane.engine.forward.ForwardedOperations
 import dev.cardamomlane.engine.forward.Forwarder
@@ -32,6 +33,7 @@
 import dev.cardamomlane.engine.session.SessionServices
 import dev.cardamomlane.engine.target.TargetDialer
 import dev.cardamomlane.engine.target.TargetEntry
+import dev.cardamomlane.engine.target.TargetList
 
 /**
  * One host of the proxy: its sessions, its database groups and its membership in the fleet.
@@ -60,7 +62,10 @@
     private val cutOff = CutOffWatch(fleet, groupRecords, timers, log)
     private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
     private val sessions = LinkedHashSet<CallerSession>()
-    private var entries: List<TargetEntry> = emptyList()
+    private val targetList = TargetList(timers, log) {
+        updateGroups()
+        openWaitingSessions()
+    }
     private var memberNames: Set<String> = emptySet()
     private var hasSeat = false
     private var isFetchScheduled = false
@@ -151,12 +156,8 @@
         openWaitingSessions()
     }
 
-    /** Replaces the list of targets. */
-    public fun updateTargets(newer: List<TargetEntry>) {
-        entries = newer
-        updateGroups()
-        openWaitingSessions()
-    }
+    /** Takes over the platform's list of targets as of [position] of the store, unless a newer one is known. */
+    public fun updateTargets(list: List<TargetEntry>, position: StorePosition): Unit = targetList.update(list, position)
 
     override fun group(id: DatabaseId): DatabaseGroup? = groups[id]
 
@@ -296,7 +297,7 @@
 
     private fun updateGroups() {
         if (!hasSeat) return
-        val byGroup = entries.groupBy { it.group }
+        val byGroup = targetList.entries.groupBy { it.group }
         val known = byGroup.keys + configuration.groups.keys + groups.keys
         for (id in known) {
             val policy = configuration.groups[id]
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetEntry.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetEntry.kt
@@ -11,6 +11,7 @@
  * @property slotCount how many statements the target runs at once, for all hosts together
  * @property isPrimary the role that the target last reported
  * @property startedAtUnixMillis Unix time of the target's start, or 0 when unknown
+ * @property sequence the target's own count of its reports since its start
  */
 public data class TargetEntry(
     val id: TargetId,
@@ -21,4 +22,9 @@
     val isDraining: Boolean,
     val isPrimary: Boolean,
     val startedAtUnixMillis: Long,
-)
+    val sequence: Long = 0,
+) {
+    /** True when the target wrote this entry after [other], an entry of the same target. */
+    public fun isNewerThan(other: TargetEntry): Boolean =
+        compareValuesBy(this, other, { it.startedAtUnixMillis }, { it.sequence }) > 0
+}
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -13,6 +13,7 @@
 import dev.cardamomlane.engine.fleet.Member
 import dev.cardamomlane.engine.fleet.PeerMessage
 import dev.cardamomlane.engine.fleet.PromotionOutcome
+import dev.cardamomlane.engine.fleet.StorePosition
 import dev.cardamomlane.engine.log.DecisionLog
 import dev.cardamomlane.engine.session.CallerSession
 import dev.cardamomlane.engine.statement.CallerAnswer
@@ -73,7 +74,7 @@
 
     private fun start(host: ProxyHost) {
         if (isConfigured) host.configure(configuration(version = 1))
-        host.updateTargets(listOf(entry("p", isPrimary = true), entry("r1"), entry("r2")))
+        host.updateTargets(listOf(entry("p", isPrimary = true), entry("r1"), entry("r2")), StorePosition(1, 1))
         host.start()
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -163,7 +163,7 @@
         fixture.timers.advance(200)
         val entries =
             listOf(fixture.entry("p", isPrimary = true, isDraining = true), fixture.entry("r1"), fixture.entry("r2"))
-        fixture.hosts.forEach { it.updateTargets(entries) }
+        fixture.hosts.forEach { it.updateTargets(entries, StorePosition(1, 2)) }
         fixture.timers.advance(300)
         assertTrue(fixture.promotions.isEmpty(), "no replica has caught up yet")
         fixture.replicate()
@@ -182,7 +182,7 @@
         fixture.timers.advance(1_000)
         crash("p")
         fixture.open(FakeCaller(), host = 0).onStatement("w", write)
-        fixture.hosts.drop(1).forEach { it.updateTargets(emptyList()) }
+        fixture.hosts.drop(1).forEach { it.updateTargets(emptyList(), StorePosition(1, 2)) }
 
         fixture.timers.advance(4_000)
 
