A primary that reports to be a replica is replaced

Cause: a record that names the wrong target was never corrected while that target answered: it refused writes as a replica, and only silence, leaving or being out of reach of many hosts started a takeover. A record can be wrong after a restoration whose promotion took effect late; positions of such a target were also taken for the primary's.

Change: a refused write makes the group query the primary's status; a primary that has reported to be a replica for 1 s is replaced by a takeover, which finds the one that is primary. Its positions don't count meanwhile.

Found by reading. TakeoverTest, a primary that reports to be a replica is given up for the one that is primary, failed before.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ReplacementTrigger.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ReplacementTrigger.kt
@@ -29,7 +29,12 @@
         unlistedSinceMillis = null
         if (group.targets.none { it !== primary && isEligible(it) }) return null
         return drainingReason(primary, nowMillis, mayPlan) ?: unreachableReason(primary, nowMillis)
-            ?: outOfReachReason(primary, nowMillis, mayPlan)
+            ?: outOfReachReason(primary, nowMillis, mayPlan) ?: lostRoleReason(primary)
+    }
+
+    /** The record is wrong when its primary says that it is a replica: the takeover finds the one that is primary. */
+    private fun lostRoleReason(primary: Target): ReplacementReason? = primary.replicaSinceMillis?.let { since ->
+        ReplacementReason("primary reports to be a replica", isPlanned = false, since, LOST_ROLE_MILLIS)
     }
 
     private fun unlistedReason(nowMillis: Long): ReplacementReason? {
@@ -117,6 +122,9 @@
         /** How long the primary must be out of reach of many hosts. */
         const val OUT_OF_REACH_MILLIS = 500L
 
+        /** How long the primary must have reported to be a replica; several reports, so that none was merely late. */
+        const val LOST_ROLE_MILLIS = 1_000L
+
         /** The least time since the primary's last answer, and between two probes, before it is probed. */
         const val PROBE_MILLIS = 150L
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -107,6 +107,7 @@
                 "is_draining", entry.isDraining, "is_primary", entry.isPrimary,
             )
         }
+        if (entry.isPrimary && !target.entry.isPrimary) target.forgetRole()
         target.entry = entry
         target.goneAtMillis = null
     }
@@ -273,8 +274,13 @@
         if (target === primary) onPrimaryUnreachable()
     }
 
+    override fun onReadOnly(target: Target) {
+        val nowMillis = timers.nowMillis()
+        if (target === primary && nowMillis - probedAtMillis >= PROBE_INTERVAL_MILLIS) probe(target, nowMillis)
+    }
+
     override fun onPosition(target: Target, sentAtMillis: Long, position: LogPosition) {
-        if (target !== primary || !isRecordStable(timers.nowMillis())) return
+        if (target !== primary || target.replicaSinceMillis != null || !isRecordStable(timers.nowMillis())) return
         val record = records.record(id)
         val isOfOlderTerm = record != null && position.term < record.term
         positions.add(target.entry.id, PositionSample(sentAtMillis, position).takeIf { !isOfOlderTerm })
@@ -343,6 +349,7 @@
             return
         }
         positions.clearUnlessOf(record.primary)
+        targetsById[record.primary]?.forgetRole()
         probedAtMillis = GroupRecords.NEVER
         abandonWrites(record)
         probePosition(timers.nowMillis())
@@ -392,8 +399,13 @@
         val newestMillis = positions.newest?.sentAtMillis ?: GroupRecords.NEVER
         if (nowMillis - newestMillis < SAMPLE_REFRESH_MILLIS) return
         val target = primary ?: return
+        if (isRecordStable(nowMillis) && target.unreachableSinceMillis == null && target.goneAtMillis == null) {
+            probe(target, nowMillis)
+        }
+    }
+
+    private fun probe(target: Target, nowMillis: Long) {
         val customer = controlCustomer ?: return
-        if (!isRecordStable(nowMillis) || target.unreachableSinceMillis != null || target.goneAtMillis != null) return
         probedAtMillis = nowMillis
         target.status(customer) { _, _ -> }
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -53,6 +53,10 @@
     public var unreachableSinceMillis: Long? = null
         private set
 
+    /** Since when the target has reported to be a replica, or null when its last report says otherwise or there is none. */
+    internal var replicaSinceMillis: Long? = null
+        private set
+
     /** When the target last answered a statement, accepted a connection or refused one. */
     internal var lastAnswerAtMillis = GroupRecords.NEVER
         private set
@@ -140,10 +144,21 @@
     public fun status(customerName: String, done: (TargetStatus?, sentAtMillis: Long) -> Unit) {
         val sentAtMillis = timers.nowMillis()
         control(customerName, TargetStatement.Status) { answer ->
-            done(answer?.let(dialer::readStatus), sentAtMillis)
+            val status = answer?.let(dialer::readStatus)
+            if (status != null) recordRole(status)
+            done(status, sentAtMillis)
         }
     }
 
+    private fun recordRole(status: TargetStatus) {
+        replicaSinceMillis = if (status.isPrimary) null else replicaSinceMillis ?: timers.nowMillis()
+    }
+
+    /** Forgets that the target reported to be a replica, since it may have become primary. */
+    internal fun forgetRole() {
+        replicaSinceMillis = null
+    }
+
     /** Makes the target a replica if its term is below [term]. Calls [done] once with whether the target agreed. */
     public fun demote(customerName: String, term: Long, done: (Boolean) -> Unit) {
         control(customerName, TargetStatement.Demote(term)) { answer -> done(answer?.isSuccess == true) }
@@ -202,6 +217,7 @@
 
     internal fun answered(sentAtMillis: Long, answer: TargetAnswer) {
         recordContact(sentAtMillis)
+        if (answer.error?.code == ErrorCode.READ_ONLY) listener.onReadOnly(this)
         val position = answer.position ?: return
         appliedPosition = position
         appliedAtMillis = timers.nowMillis()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetListener.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetListener.kt
@@ -10,6 +10,9 @@
     /** The target is now suspected to be unreachable. */
     public fun onUnreachable(target: Target)
 
+    /** The target refused a write because it is a replica. */
+    public fun onReadOnly(target: Target)
+
     /** The target answered a request that was sent at [sentAtMillis]; its log ended at [position]. */
     public fun onPosition(target: Target, sentAtMillis: Long, position: LogPosition)
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -174,6 +174,23 @@
         assertTrue(primaryIds().all { it == fixture.promotions.single().first })
     }
 
+    @Test
+    fun `a primary that reports to be a replica is given up for the one that is primary`() {
+        useEverywhere()
+        fixture.timers.advance(200)
+        fixture.targets.target("p").isPrimary = false
+        fixture.targets.target("r1").isPrimary = true
+        fixture.targets.target("r1").position = LogPosition(2, 9)
+
+        repeat(8) {
+            useEverywhere()
+            fixture.timers.advance(500)
+        }
+
+        assertTrue(fixture.promotions.isEmpty())
+        assertTrue(primaryIds().all { it == "r1" })
+    }
+
     @Test
     fun `a host that reaches too few others claims nothing while they may still serve`() {
         useEverywhere()
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetTest.kt
@@ -42,6 +42,8 @@
 
         override fun onUnreachable(target: Target) = Unit
 
+        override fun onReadOnly(target: Target) = Unit
+
         override fun onPosition(target: Target, sentAtMillis: Long, position: LogPosition) = Unit
     }
 
