engine: writes under way and the roster of targets stand in files of their own

WriteGate holds the writes and transactions under way and confirms takeovers; TargetRoster holds the targets and tells the primary; DatabaseGroup keeps queue, placement and positions. No change of behaviour.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -148,7 +148,7 @@
     private fun awaitDrain(now: TakeoverPhase.Draining, nowMillis: Long) {
         val isMemberListNew = fleet.rowsSentAtMillis >= now.claimedAtMillis
         if (!isMemberListNew) fleet.refresh()
-        val isConfirmed = isMemberListNew && group.hasConfirmed(now.record.fence) && fleet.peers.all { peer ->
+        val isConfirmed = isMemberListNew && group.confirmedFence == now.record.fence && fleet.peers.all { peer ->
             (peer.groupStatus(group.id.value)?.confirmedFence ?: 0) >= now.record.fence
         }
         if (!isConfirmed && !hasOldProofExpired(now, nowMillis)) return
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -25,26 +25,26 @@
     public val id: DatabaseId,
     private val zone: String,
     private val timers: TimerService,
-    private val dialer: TargetDialer,
+    dialer: TargetDialer,
     private val records: GroupRecords,
     private val log: DecisionLog,
 ) : TargetListener {
-    private val targetsById = LinkedHashMap<TargetId, Target>()
+    private val roster = TargetRoster(id, timers, dialer, records, log, listener = this)
     private val queue = WorkQueue()
     private val positions = PrimaryPositions()
     private var probedAtMillis = GroupRecords.NEVER
     private var isStartingQueued = false
 
-    private val inFlightWrites = LinkedHashSet<InFlightWrite>()
-    private val openTransactions = HashSet<Any>()
     private var recordChangedAtMillis = GroupRecords.NEVER
 
+    /** The writes that are under way, and whether they may go on during a takeover. */
+    internal val writes = WriteGate(id, records, timers, isPrimary = { it === primary })
+
     /** The fence of the newest takeover for which this host has stopped sending and acknowledging writes. */
-    public var confirmedFence: Long = 0
-        private set
+    public val confirmedFence: Long get() = writes.confirmedFence
 
     /** Called when [confirmedFence] changes. */
-    public var onConfirmed: () -> Unit = {}
+    public var onConfirmed: () -> Unit by writes::onConfirmed
 
     /** Called when the primary stops answering. */
     public var onPrimaryUnreachable: () -> Unit = {}
@@ -57,20 +57,15 @@
         private set
 
     /** The listed targets, and those that are no longer listed but still kept for a while. */
-    public val targets: Collection<Target> get() = targetsById.values
+    public val targets: Collection<Target> get() = roster.targets
 
     /** The targets that the newest list names. */
-    internal val listedTargets: List<Target> get() = targetsById.values.filter { it.goneAtMillis == null }
+    internal val listedTargets: List<Target> get() = roster.listed
 
     /**
      * The target that the newest record names as primary. Without a record, the only target that reports to be primary.
      */
-    public val primary: Target?
-        get() {
-            val record = records.record(id)
-            if (record != null) return targetsById[record.primary]
-            return targetsById.values.filter { it.entry.isPrimary }.singleOrNull()
-        }
+    public val primary: Target? get() = roster.primary
 
     /** The newest position of the primary, or null. Other hosts may use it to estimate how old a replica's data is. */
     public val newestSample: PositionSample? get() = positions.newest
@@ -81,54 +76,10 @@
      * @param connectionShare the most connections that this host opens to each target
      */
     public fun update(entries: Collection<TargetEntry>, connectionShare: Int) {
-        val nowMillis = timers.nowMillis()
-        for (entry in entries) {
-            val known = targetsById[entry.id]
-            val isSame = known != null && known.entry.address == entry.address &&
-                known.entry.startedAtUnixMillis == entry.startedAtUnixMillis
-            if (isSame) refresh(known, entry) else add(entry)
-        }
-        val listed = entries.mapTo(HashSet()) { it.id }
-        for (target in targetsById.values) {
-            target.connectionShare = connectionShare
-            if (target.entry.id !in listed && target.goneAtMillis == null) {
-                target.goneAtMillis = nowMillis
-                log.event("group", "target_gone", "group", id.value, "target", target.entry.id.value)
-            }
-        }
-        dropGone(nowMillis)
+        roster.update(entries, connectionShare)
         startQueued()
     }
 
-    private fun refresh(target: Target, entry: TargetEntry) {
-        if (target.entry.isDraining != entry.isDraining || target.entry.isPrimary != entry.isPrimary) {
-            log.event(
-                "group", "target_changed", "group", id.value, "target", entry.id.value,
-                "is_draining", entry.isDraining, "is_primary", entry.isPrimary,
-            )
-        }
-        if (entry.isPrimary && !target.entry.isPrimary) target.forgetRole()
-        target.entry = entry
-        target.goneAtMillis = null
-    }
-
-    private fun add(entry: TargetEntry) {
-        targetsById.remove(entry.id)?.closeAll()
-        targetsById[entry.id] = Target(entry, timers, dialer, log, this)
-        log.event("group", "target_listed", "group", id.value, "target", entry.id.value, "address", entry.address)
-    }
-
-    private fun dropGone(nowMillis: Long) {
-        val iterator = targetsById.values.iterator()
-        while (iterator.hasNext()) {
-            val target = iterator.next()
-            val goneAt = target.goneAtMillis ?: continue
-            if (nowMillis - goneAt < GONE_RETENTION_MILLIS || target.entry.id == records.record(id)?.primary) continue
-            target.closeAll()
-            iterator.remove()
-        }
-    }
-
     /** Starts or queues [work]. Refuses it at once when the queue is too long or no primary can be expected soon. */
     public fun submit(work: Work) {
         submittedAtMillis = timers.nowMillis()
@@ -237,7 +188,7 @@
     private fun usableTargets(work: Work, placement: Placement, nowMillis: Long): List<Target> = when (placement) {
         is Placement.Primary ->
             if (isPrimaryUsable()) listOfNotNull(primary).filter { !work.avoids(it, nowMillis) } else emptyList()
-        is Placement.AnyAtPosition -> targetsById.values.filter { target ->
+        is Placement.AnyAtPosition -> roster.targets.filter { target ->
             target.takesWork(nowMillis) && !work.avoids(target, nowMillis) &&
                 !isKnownBehind(target, placement.position, nowMillis)
         }
@@ -291,49 +242,6 @@
         if (primary?.entry?.id == primaryId) positions.add(primaryId, sample)
     }
 
-    /** Registers a write or commit that was sent; [writeResolved] must follow. */
-    internal fun writeSent(write: InFlightWrite) {
-        inFlightWrites += write
-    }
-
-    /** Removes [write], whose outcome is known or no longer waited for. Has no effect if it is not registered. */
-    internal fun writeResolved(write: InFlightWrite) {
-        if (inFlightWrites.remove(write)) confirmIfDrained()
-    }
-
-    /** Registers a transaction at the primary that may write; [transactionEnded] must follow. */
-    internal fun transactionOpened(transaction: Any) {
-        openTransactions += transaction
-    }
-
-    /** Removes [transaction], which sends no more writes. Has no effect if it is not registered. */
-    internal fun transactionEnded(transaction: Any) {
-        if (openTransactions.remove(transaction)) confirmIfDrained()
-    }
-
-    /** True when a write or commit may be sent to [target] in a transaction that is already open there. */
-    internal fun mayCommit(target: Target): Boolean {
-        val record = records.record(id)
-        val isOpen = record == null || !record.isChanging || (record.isPlanned && !isConfirmed(record))
-        return isOpen && mayAcknowledge(target)
-    }
-
-    /** True when a write at [target] may now be acknowledged to the caller: no other target can be primary yet. */
-    internal fun mayAcknowledge(target: Target): Boolean {
-        val record = records.record(id)
-        return target === primary && records.isPrimaryCertain(id, timers.nowMillis()) &&
-            (record == null || !isConfirmed(record))
-    }
-
-    /** True when another target is primary, or this host has confirmed that [target] may be replaced. */
-    internal fun isReplaced(target: Target): Boolean =
-        records.record(id)?.let { it.primary != target.entry.id || isConfirmed(it) } ?: false
-
-    private fun isConfirmed(record: GroupRecord) = record.isChanging && hasConfirmed(record.fence)
-
-    /** True once this host has stopped sending and acknowledging writes for the takeover under [fence]. */
-    public fun hasConfirmed(fence: Long): Boolean = confirmedFence == fence
-
     /** Applies a newer record of this group, which started or ended a takeover. */
     public fun onRecord(record: GroupRecord) {
         log.event(
@@ -341,43 +249,20 @@
             "primary", record.primary.value, "is_changing", record.isChanging, "holder", record.holder,
         )
         recordChangedAtMillis = timers.nowMillis()
-        if (record.isChanging) {
-            timers.after(if (record.isPlanned) PLANNED_GRACE_MILLIS else UNPLANNED_GRACE_MILLIS) {
-                abandonWrites(record)
-            }
-            confirmIfDrained()
-            return
-        }
+        if (record.isChanging) return writes.onTakeover(record)
         positions.clearUnlessOf(record.primary)
-        targetsById[record.primary]?.forgetRole()
+        roster.primary?.forgetRole()
         probedAtMillis = GroupRecords.NEVER
-        abandonWrites(record)
+        writes.onPublished(record)
         probePosition(timers.nowMillis())
         startQueued()
     }
 
-    private fun confirmIfDrained() {
-        val record = records.record(id) ?: return
-        if (!record.isChanging || isConfirmed(record) || inFlightWrites.isNotEmpty()) return
-        val isGraceOver = timers.nowMillis() - recordChangedAtMillis >= PLANNED_GRACE_MILLIS
-        if (record.isPlanned && openTransactions.isNotEmpty() && !isGraceOver) return
-        confirmedFence = record.fence
-        onConfirmed()
-    }
-
-    private fun abandonWrites(record: GroupRecord) {
-        if (records.record(id)?.isNewerThan(record) == true) return
-        for (write in inFlightWrites.toList()) {
-            if (record.isChanging || record.primary != write.target.entry.id) write.abandon()
-        }
-        confirmIfDrained()
-    }
-
     /** Checks the targets' health, refreshes the primary's position and refuses overdue statements. Called often. */
     public fun tick() {
         val nowMillis = timers.nowMillis()
-        for (target in targetsById.values.toList()) target.tick(controlCustomer)
-        dropGone(nowMillis)
+        for (target in roster.targets.toList()) target.tick(controlCustomer)
+        roster.dropGone(nowMillis)
         probePosition(nowMillis)
         for (work in queue.inOrder()) {
             val waitedMillis = nowMillis - work.queuedAtMillis
@@ -413,9 +298,6 @@
     private companion object {
         const val MAX_ATTEMPTS = 8
 
-        /** How long a target that is no longer listed is kept, unless the record names it as primary. */
-        const val GONE_RETENTION_MILLIS = 10_000L
-
         /** A statement is refused at once if its expected wait exceeds this fraction of its timeout. */
         const val EXPECTED_WAIT_FRACTION = 0.5
 
@@ -453,12 +335,5 @@
 
         /** The primary's position is queried when the newest known one is older than this. */
         const val SAMPLE_REFRESH_MILLIS = 700L
-
-        /**
-         * How long after the start of a takeover writes may still wait for their answers. In a planned one, open
-         * transactions may go on for as long.
-         */
-        const val UNPLANNED_GRACE_MILLIS = 150L
-        const val PLANNED_GRACE_MILLIS = 350L
     }
 }
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
@@ -0,0 +1,101 @@
+package dev.cardamomlane.engine.group
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.fleet.GroupRecords
+import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.target.Target
+import dev.cardamomlane.engine.target.TargetDialer
+import dev.cardamomlane.engine.target.TargetEntry
+import dev.cardamomlane.engine.target.TargetListener
+
+/**
+ * The targets of one group, as the newest list names them, and which of them is primary.
+ *
+ * Not safe for use by several threads.
+ */
+internal class TargetRoster(
+    private val group: DatabaseId,
+    private val timers: TimerService,
+    private val dialer: TargetDialer,
+    private val records: GroupRecords,
+    private val log: DecisionLog,
+    private val listener: TargetListener,
+) {
+    private val targetsById = LinkedHashMap<TargetId, Target>()
+
+    /** The listed targets, and those that are no longer listed but still kept for a while. */
+    val targets: Collection<Target> get() = targetsById.values
+
+    /** The targets that the newest list names. */
+    val listed: List<Target> get() = targets.filter { it.goneAtMillis == null }
+
+    /** The target that the newest record names. Without a record, the only target that reports to be primary. */
+    val primary: Target?
+        get() {
+            val record = records.record(group)
+            if (record != null) return targetsById[record.primary]
+            return targets.filter { it.entry.isPrimary }.singleOrNull()
+        }
+
+    /**
+     * Replaces the list of targets by [entries]. A target that is missing gets no new work, and is dropped later.
+     *
+     * @param connectionShare the most connections that this host opens to each target
+     */
+    fun update(entries: Collection<TargetEntry>, connectionShare: Int) {
+        val nowMillis = timers.nowMillis()
+        for (entry in entries) {
+            val known = targetsById[entry.id]
+            val isSame = known != null && known.entry.address == entry.address &&
+                known.entry.startedAtUnixMillis == entry.startedAtUnixMillis
+            if (isSame) refresh(known, entry) else add(entry)
+        }
+        val listed = entries.mapTo(HashSet()) { it.id }
+        for (target in targets) {
+            target.connectionShare = connectionShare
+            if (target.entry.id !in listed && target.goneAtMillis == null) {
+                target.goneAtMillis = nowMillis
+                log.event("group", "target_gone", "group", group.value, "target", target.entry.id.value)
+            }
+        }
+        dropGone(nowMillis)
+    }
+
+    private fun refresh(target: Target, entry: TargetEntry) {
+        if (target.entry.isDraining != entry.isDraining || target.entry.isPrimary != entry.isPrimary) {
+            log.event(
+                "group", "target_changed", "group", group.value, "target", entry.id.value,
+                "is_draining", entry.isDraining, "is_primary", entry.isPrimary,
+            )
+        }
+        if (entry.isPrimary && !target.entry.isPrimary) target.forgetRole()
+        target.entry = entry
+        target.goneAtMillis = null
+    }
+
+    private fun add(entry: TargetEntry) {
+        targetsById.remove(entry.id)?.closeAll()
+        targetsById[entry.id] = Target(entry, timers, dialer, log, listener)
+        log.event("group", "target_listed", "group", group.value, "target", entry.id.value, "address", entry.address)
+    }
+
+    /** Drops the targets that have been missing from the list for long, but never the recorded primary. */
+    fun dropGone(nowMillis: Long) {
+        val iterator = targetsById.values.iterator()
+        while (iterator.hasNext()) {
+            val target = iterator.next()
+            val goneAt = target.goneAtMillis ?: continue
+            val isRecorded = target.entry.id == records.record(group)?.primary
+            if (nowMillis - goneAt < GONE_RETENTION_MILLIS || isRecorded) continue
+            target.closeAll()
+            iterator.remove()
+        }
+    }
+
+    private companion object {
+        /** How long a target that is no longer listed is kept, unless the record names it as primary. */
+        const val GONE_RETENTION_MILLIS = 10_000L
+    }
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -103,7 +103,7 @@
             if (mustBePrimary && !group.isPrimaryUsable()) return retryElsewhere(NO_AVOID_MILLIS)
             isSent = true
             wasAnySent = true
-            if (statement.access == Access.WRITE) group.writeSent(this) else scheduleHedge()
+            if (statement.access == Access.WRITE) group.writes.sent(this) else scheduleHedge()
             connection.execute(statement.toTarget(after)) { answer -> onAnswer(answer) }
         }
 
@@ -187,7 +187,7 @@
         private fun complete(tookMillis: Long?) {
             isComplete = true
             attempts.remove(this)
-            group.writeResolved(this)
+            group.writes.resolved(this)
             target.finished(tookMillis?.toDouble())
         }
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -59,7 +59,7 @@
     /** Closes the connection instead if a statement on it has no answer yet. */
     override fun rollback() {
         isFinished = true
-        group.transactionEnded(this)
+        group.writes.ended(this)
         queued?.end()
         timer?.cancel()
         val connection = pinned ?: return
@@ -117,7 +117,7 @@
                     queued = null
                     pinned = connection
                     pinnedTarget = target
-                    if (!isReadOnly) group.transactionOpened(this)
+                    if (!isReadOnly) group.writes.opened(this)
                     send(connection, step)
                 }
             }
@@ -151,19 +151,19 @@
         if (isFinished || currentStep !== step) return
         val target = pinnedTarget!!
         val containsWrite = !isReadOnly && (hasWritten || step.statement?.access == Access.WRITE)
-        if (containsWrite && !group.mayCommit(target)) return abort("the primary is being replaced")
+        if (containsWrite && !group.writes.mayCommit(target)) return abort("the primary is being replaced")
         val sentAtMillis = services.timers.nowMillis()
         target.started()
         val statement = step.statement
         if (statement == null) {
             isCommitSent = true
-            if (hasWritten) group.writeSent(this)
+            if (hasWritten) group.writes.sent(this)
         } else if (statement.access == Access.WRITE) {
             hasWritten = true
         }
         connection.execute(statement?.toTarget(after = null) ?: TargetStatement.Commit(step.id)) { answer ->
             target.finished(answer?.let { (services.timers.nowMillis() - sentAtMillis).toDouble() })
-            if (statement == null) group.writeResolved(this)
+            if (statement == null) group.writes.resolved(this)
             onAnswer(step, answer)
         }
     }
@@ -180,7 +180,7 @@
         val connection = pinned
         pinned = null
         isFinished = true
-        group.transactionEnded(this)
+        group.writes.ended(this)
         connection?.releaseOrClose(answer)
         if (hasWritten && answer.isSuccess) {
             Acknowledgement(services, group, target, answer, ::deliver).start()
@@ -190,7 +190,7 @@
     }
 
     override fun abandon() {
-        group.writeResolved(this)
+        group.writes.resolved(this)
         onConnectionLost()
     }
 
@@ -212,7 +212,7 @@
     private fun end() {
         isFailed = true
         isFinished = true
-        group.transactionEnded(this)
+        group.writes.ended(this)
         pinned?.close()
         pinned = null
     }
@@ -227,7 +227,7 @@
     private fun onTimeout() {
         if (currentStep == null) return
         queued?.end()
-        group.writeResolved(this)
+        group.writes.resolved(this)
         when {
             isCommitSent -> onConnectionLost()
             queued != null && pinned == null -> {
