--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -57,11 +57,12 @@
     private val groupRecords = GroupRecords()
     private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
     private val fleet = Fleet(self, zones, { groups.values }, timers, store, network, groupRecords, log, this)
-    private val forwarded = ForwardedOperations(this, timers) { fleet.isRegistered && !isClosing }
+    private val forwarded = ForwardedOperations(this, timers) { fleet.isRegistered && !isClosing() }
     private val limits = CustomerLimits(fleet, groupRecords, timers)
     private val cutOff = CutOffWatch(fleet, groupRecords, timers, log)
     private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
     private val sessions = LinkedHashSet<CallerSession>()
+    private val stop = GracefulStop(sessions, forwarded, fleet, timers, log)
     private val targetList = TargetList(timers, log) {
         updateGroups()
         openWaitingSessions()
@@ -70,8 +71,6 @@
     private var hasSeat = false
     private var isFetchScheduled = false
     private val waitingSessions = ArrayList<CallerSession>()
-    private var stoppingSinceMillis: Long? = null
-    private var isClosing = false
 
     override var configuration: Configuration = Configuration.NONE
         private set
@@ -159,6 +158,8 @@
     /** Takes over the platform's list of targets as of [position] of the store, unless a newer one is known. */
     public fun updateTargets(list: List<TargetEntry>, position: StorePosition): Unit = targetList.update(list, position)
 
+    private fun isClosing(): Boolean = stop.isClosing
+
     override fun group(id: DatabaseId): DatabaseGroup? = groups[id]
 
     override fun count(route: String, outcome: String, tookMillis: Long) {
@@ -171,7 +172,7 @@
      */
     public fun openSession(link: CallerLink, database: String, key: String?): CallerSession {
         val session = CallerSession(this, link, database, key)
-        if (isClosing) {
+        if (stop.isClosing) {
             session.refuse("the host is stopping, not run")
             return session
         }
@@ -211,7 +212,7 @@
     override val isReady: Boolean
         get() {
             val nowMillis = timers.nowMillis()
-            if (stoppingSinceMillis != null || configuration.version < 0) return false
+            if (stop.isStopping || configuration.version < 0) return false
             if (!fleet.isRegistered) return fleet.directory.usable(nowMillis).isNotEmpty()
             return groups.values.any { it.targets.isNotEmpty() } && groupRecords.isCurrent(nowMillis)
         }
@@ -222,37 +223,8 @@
      * open after half of [graceMillis] are aborted. [done] is called when all sessions are closed or [graceMillis] have
      * passed. Further calls have no effect.
      */
-    public fun stop(graceMillis: Long, stopAccepting: () -> Unit, done: () -> Unit) {
-        if (stoppingSinceMillis != null) return
-        val nowMillis = timers.nowMillis()
-        stoppingSinceMillis = nowMillis
-        log.event("host", "stopping", "sessions", sessions.size)
-        fleet.heartbeat()
-        forwarded.leave()
-        timers.after(minOf(STOP_ACCEPTING_DELAY_MILLIS, graceMillis / 3)) {
-            isClosing = true
-            stopAccepting()
-            closeIdleSessions()
-        }
-        timers.after(graceMillis / 2) {
-            sessions.toList().forEach { it.abortTransaction("the host is stopping") }
-            forwarded.abortTransactions("the host is stopping")
-        }
-        finishStop(nowMillis + graceMillis, done)
-    }
-
-    private fun closeIdleSessions() {
-        for (session in sessions.toList()) session.closeWhenIdle()
-    }
-
-    private fun finishStop(endMillis: Long, done: () -> Unit) {
-        val isDone = isClosing && sessions.isEmpty() && forwarded.isIdle
-        if (isDone || timers.nowMillis() >= endMillis) {
-            log.event("host", "stopped", "sessions", sessions.size)
-            return done()
-        }
-        timers.after(STOP_POLL_INTERVAL_MILLIS) { finishStop(endMillis, done) }
-    }
+    public fun stop(graceMillis: Long, stopAccepting: () -> Unit, done: () -> Unit): Unit =
+        stop.start(graceMillis, stopAccepting, done)
 
     override val configurationVersion: Long get() = configuration.version
 
@@ -347,10 +319,6 @@
         private const val CLOSE_WATCHERS = 3
 
         private const val TICK_INTERVAL_MILLIS = 40L
-        private const val STOP_POLL_INTERVAL_MILLIS = 50L
-
-        /** How long a stopping host serves new callers, so that the load balancer can take it out. */
-        private const val STOP_ACCEPTING_DELAY_MILLIS = 2_200L
 
         /** The least number of connections that a host may open to each target. */
         private const val MIN_CONNECTIONS = 2
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
@@ -79,7 +79,7 @@
     /** True when the members that may remember are too few to give each other proof and serve on with it. */
     private fun mayDecide(unsettledMillis: Long, nowMillis: Long): Boolean {
         val forgetful = 1 + fleet.alivePeers(nowMillis).count { it.lastHeartbeat?.isInformed == false }
-        return forgetful >= fleet.blockingCount || unsettledMillis >= TOO_FEW_ALIVE_MILLIS
+        return forgetful >= fleet.blockingCount || unsettledMillis >= TakeoverDrain.TOO_FEW_ALIVE_MILLIS
     }
 
     /** Writes the results of takeovers that are known from an earlier epoch and that [rows] lack. */
@@ -165,7 +165,7 @@
         val unsettledMillis = timers.nowMillis() - since
         return when {
             unsettledMillis < SILENT_TARGET_MILLIS -> survey.hasAll
-            unsettledMillis < TOO_FEW_ALIVE_MILLIS -> survey.hasMajority
+            unsettledMillis < TakeoverDrain.TOO_FEW_ALIVE_MILLIS -> survey.hasMajority
             else -> true
         }
     }
@@ -206,8 +206,5 @@
 
         /** A member waits this much longer for each step of [Fleet.rank]; longer than a write and a heartbeat take. */
         const val RANK_STEP_MILLIS = 300L
-
-        /** A host that has had too few alive members for this time decides all the same, as in a [Takeover]. */
-        const val TOO_FEW_ALIVE_MILLIS = 12_000L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -42,6 +42,7 @@
     private val seatPolicy = SeatPolicy(self, zones, SeatPolicy.SEAT_COUNT, random)
     private val seatKeeper = SeatKeeper(self, seatPolicy, controlTable, storeReader, timers, log)
     private val settlement = EpochSettlement(self.run, this, controlTable, groups, timers, log)
+    private val removal = MemberRemoval(this, storeReader, log)
     private var tickedAtMillis = GroupRecords.NEVER
     private var wasRegistered = false
 
@@ -71,7 +72,6 @@
     private var membersHash = 0
     private var heartbeatAtMillis = GroupRecords.NEVER
     private var isEarlyHeartbeatScheduled = false
-    private val removalTriedAtMillis = HashMap<String, Long>()
 
     init {
         controlTable.onRestored { if (isRegistered) refresh() }
@@ -118,7 +118,7 @@
         renewProofFromMajority(nowMillis)
         storeReader.refresh(groupRecords.provedAtMillis)
         settlement.tick(nowMillis)
-        removeDeadMembers(nowMillis)
+        removal.tick(nowMillis)
     }
 
     private fun tickWithoutSeat(nowMillis: Long) {
@@ -301,27 +301,6 @@
         heartbeat()
     }
 
-    private fun removeDeadMembers(nowMillis: Long) {
-        if (!controlTable.isSettled || !groupRecords.isCurrent(nowMillis)) return
-        if (rank(nowMillis) != 0 || aliveCount(nowMillis) < majority) return
-        for (peer in peersByName.values.toList()) {
-            if (peer.isAlive(nowMillis, DEAD_MILLIS) || isNewlyListed(peer, nowMillis)) continue
-            val name = peer.member.name
-            val isAliveElsewhere = alivePeers(nowMillis).any { name in (it.lastHeartbeat?.heardMembers ?: emptyList()) }
-            val row = rows.firstOrNull { it.member.name == name }
-            val isTried = nowMillis - (removalTriedAtMillis[name] ?: GroupRecords.NEVER) < DEAD_MILLIS
-            if (isAliveElsewhere || row == null || isTried) continue
-            removalTriedAtMillis[name] = nowMillis
-            log.event("fleet", "member_dropped", "member", name, "seat", row.seat)
-            controlTable.writeSeat(SeatChange(row.seat, member = null, row.version)).subscribe(
-                { storeReader.read() },
-                { failure -> log.event("fleet", "member_kept", "member", name, "reason", failure.message) },
-            )
-        }
-    }
-
-    private fun isNewlyListed(peer: Peer, nowMillis: Long): Boolean = nowMillis - peer.listedAtMillis < DEAD_MILLIS
-
     private fun heardMembers(nowMillis: Long): List<String> =
         peersByName.values.filter { it.isAlive(nowMillis, REPORTED_ALIVE_MILLIS) }.map { it.member.name }
 
@@ -344,13 +323,6 @@
         /** Heartbeats report the members whose last heartbeat is younger than this. */
         private const val REPORTED_ALIVE_MILLIS = 3_000L
 
-        /**
-         * A member is removed when this host got no heartbeat from it for this time, unless an alive host reports that
-         * it got one within [REPORTED_ALIVE_MILLIS]. Also the least time between two attempts to remove it, and from
-         * its listing to its removal.
-         */
-        private const val DEAD_MILLIS = 10_000L
-
         /** A host without a seat reads the store when no member has answered for this time. */
         private const val SILENT_READ_MILLIS = 1_000L
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -42,13 +42,13 @@
     private val groupRecords = fleet.groupRecords
     private val table = fleet.controlTable
     private val trigger = ReplacementTrigger(group, fleet, customerName)
+    private val drain = TakeoverDrain(group, fleet)
     private val demotions = Demotions(group, customerName)
     private var phase: TakeoverPhase = TakeoverPhase.Watching
     private var observedSinceMillis = 0L
     private var observed: GroupRecord? = null
     private var plannedNotBeforeMillis = GroupRecords.NEVER
     private var claimFailedAtMillis = GroupRecords.NEVER
-    private var tooFewAliveSinceMillis: Long? = null
     private var isCallUnderWay = false
     private val notRunning = HashSet<TargetId>()
 
@@ -99,7 +99,7 @@
 
     private fun claim(reason: String, isPlanned: Boolean, nowMillis: Long) {
         if (!groupRecords.isCurrent(nowMillis) || !fleet.agreesOnMembers(nowMillis) || !table.isSettled) return
-        if (!canBlockMajority(nowMillis)) return
+        if (!drain.mayClaim(nowMillis)) return
         if (fleet.rowsSentAtMillis < claimFailedAtMillis) return fleet.refresh()
         val old = groupRecords.record(group.id)
         val expected = groupRecords.rowPosition(group.id)
@@ -148,41 +148,13 @@
     private fun awaitDrain(now: TakeoverPhase.Draining, nowMillis: Long) {
         val isMemberListNew = fleet.rowsSentAtMillis >= now.claimedAtMillis
         if (!isMemberListNew) fleet.refresh()
-        val isConfirmed = isMemberListNew && group.confirmedFence == now.record.fence && fleet.peers.all { peer ->
-            (peer.groupStatus(group.id.value)?.confirmedFence ?: 0) >= now.record.fence
-        }
-        if (!isConfirmed && !hasOldProofExpired(now, nowMillis)) return
+        val isConfirmed = isMemberListNew && drain.isConfirmed(now.record)
+        if (!isConfirmed && !drain.hasOldProofExpired(now, nowMillis)) return
         log.event("takeover", "drained", "group", group.id.value, "is_confirmed", isConfirmed)
         val readNotBeforeMillis = if (isConfirmed) now.claimedAtMillis else nowMillis
         phase = TakeoverPhase.Querying(now.record, startedAtMillis = nowMillis, readNotBeforeMillis)
     }
 
-    /**
-     * True when so many hosts are alive, this one included, that the others alone are no majority and get no proof from
-     * each other's heartbeats, or when too few have been alive for [TOO_FEW_ALIVE_MILLIS]. A claim without enough of
-     * them would only stop the hosts that still reach the primary.
-     */
-    private fun canBlockMajority(nowMillis: Long): Boolean {
-        if (fleet.aliveCount(nowMillis) >= fleet.blockingCount) {
-            tooFewAliveSinceMillis = null
-            return true
-        }
-        val since = tooFewAliveSinceMillis ?: nowMillis.also { tooFewAliveSinceMillis = it }
-        return nowMillis - since > TOO_FEW_ALIVE_MILLIS
-    }
-
-    /**
-     * True when all proof that hosts got before they knew of the claim has expired. They can't have got such proof from
-     * the store after the claim, nor from heartbeats of a majority after [Fleet.blockingCount] members knew of it.
-     */
-    private fun hasOldProofExpired(now: TakeoverPhase.Draining, nowMillis: Long): Boolean {
-        val informed = 1 + fleet.peers.count { (it.groupStatus(group.id.value)?.fence ?: 0) >= now.record.fence }
-        if (now.informedAtMillis == null && informed >= fleet.blockingCount) now.informedAtMillis = nowMillis
-        val informedAtMillis = now.informedAtMillis ?: (now.claimedAtMillis + TOO_FEW_ALIVE_MILLIS)
-        return nowMillis >=
-            maxOf(now.claimedAtMillis, informedAtMillis) + GroupRecords.MAX_AGE_MILLIS + PROOF_MARGIN_MILLIS
-    }
-
     private fun queryTargets(now: TakeoverPhase.Querying, nowMillis: Long) {
         if (isCallUnderWay) return
         val customer = customerName() ?: return
@@ -326,7 +298,7 @@
 
         /**
          * A takeover whose record has not changed for this time is claimed again by another host. Must exceed the wait
-         * for old proof to expire, [GroupRecords.MAX_AGE_MILLIS] and [PROOF_MARGIN_MILLIS], or a takeover that lacks
+         * for old proof to expire, [TakeoverDrain.PROOF_EXPIRY_MILLIS], or a takeover that lacks
          * the confirmation of a host would be claimed again before its promotion.
          */
         const val STALLED_HOLDER_MILLIS = 3_000L
@@ -337,16 +309,6 @@
          */
         const val GONE_HOLDER_MILLIS = 1_000L
 
-        /** Added to [GroupRecords.MAX_AGE_MILLIS] in the wait for old proof to expire. */
-        const val PROOF_MARGIN_MILLIS = 50L
-
-        /**
-         * A host that has had fewer alive members than [Fleet.blockingCount] for this time claims all the same. Also
-         * the time after a claim from which on that many members are taken to know of it, though fewer have reported
-         * so. Such a host must claim nothing while the others may still serve: TakeoverTest expects no claim for 4 s.
-         */
-        const val TOO_FEW_ALIVE_MILLIS = 12_000L
-
         /**
          * For this time only the targets that this host reaches are queried, then all that are listed. Must stay below
          * [ALL_REPLICAS_MILLIS], or a takeover that needs every replica would not query the unreachable ones.
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetEntry.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetEntry.kt
@@ -22,7 +22,7 @@
     val isDraining: Boolean,
     val isPrimary: Boolean,
     val startedAtUnixMillis: Long,
-    val sequence: Long = 0,
+    val sequence: Long,
 ) {
     /** True when the target wrote this entry after [other], an entry of the same target. */
     public fun isNewerThan(other: TargetEntry): Boolean =
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -3,7 +3,6 @@
 import dev.cardamomlane.core.CustomerId
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.ManualTimerService
-import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.limits.Allowance
 import dev.cardamomlane.engine.config.Configuration
 import dev.cardamomlane.engine.config.Consistency
@@ -18,7 +17,6 @@
 import dev.cardamomlane.engine.session.CallerSession
 import dev.cardamomlane.engine.statement.CallerAnswer
 import dev.cardamomlane.engine.statement.Statement
-import dev.cardamomlane.engine.target.TargetEntry
 import kotlinx.collections.immutable.toImmutableMap
 import reactor.core.publisher.Mono
 
@@ -74,7 +72,10 @@
 
     private fun start(host: ProxyHost) {
         if (isConfigured) host.configure(configuration(version = 1))
-        host.updateTargets(listOf(entry("p", isPrimary = true), entry("r1"), entry("r2")), StorePosition(1, 1))
+        host.updateTargets(
+            listOf(targetEntry("p", isPrimary = true), targetEntry("r1"), targetEntry("r2")),
+            StorePosition(1, 1),
+        )
         host.start()
     }
 
@@ -138,17 +139,6 @@
         onPromoted(target)
     }
 
-    fun entry(id: String, isPrimary: Boolean = false, isDraining: Boolean = false) = TargetEntry(
-        id = TargetId(id),
-        group = DatabaseId("g"),
-        address = id,
-        zone = "a",
-        slotCount = 5,
-        isDraining = isDraining,
-        isPrimary = isPrimary,
-        startedAtUnixMillis = 1,
-    )
-
     fun configuration(
         version: Long,
         key: String = "key",
@@ -193,6 +183,30 @@
         return caller.answers.getOrNull(before)
     }
 
+    /**
+     * Sends the write [statement] over and over, and counts the answers of success to writes that the target [replaced]
+     * committed after another one became primary. Fails when no other one became primary.
+     */
+    fun countLateAcknowledgements(
+        session: CallerSession,
+        caller: FakeCaller,
+        statement: Statement,
+        replaced: String,
+        attempts: Int,
+    ): Int {
+        var isReplaced = false
+        var lateCommits = 0
+        onPromoted = { isReplaced = true }
+        targets.onCommit = { target, _ -> if (isReplaced && target.id == replaced) lateCommits++ }
+        val acknowledged = (1..attempts).count {
+            val before = lateCommits
+            val answer = ask(session, caller, statement, millis = 20)
+            lateCommits > before && answer != null && answer.error == null
+        }
+        check(isReplaced) { "no other target became primary" }
+        return acknowledged
+    }
+
     /** Advances the replicas to the primary's log position. */
     fun replicate() {
         for (id in listOf("r1", "r2")) targets.target(id).position = targets.target("p").position
--- /dev/null
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/TestEntries.kt
@@ -0,0 +1,24 @@
+package dev.cardamomlane.engine
+
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.engine.target.TargetEntry
+
+/** An entry of the target [id] of the group `g`, whose address is its id. */
+fun targetEntry(
+    id: String,
+    isPrimary: Boolean = false,
+    isDraining: Boolean = false,
+    startedAtUnixMillis: Long = 1,
+    sequence: Long = 0,
+) = TargetEntry(
+    id = TargetId(id),
+    group = DatabaseId("g"),
+    address = id,
+    zone = "a",
+    slotCount = 5,
+    isDraining = isDraining,
+    isPrimary = isPrimary,
+    startedAtUnixMillis = startedAtUnixMillis,
+    sequence = sequence,
+)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/RestoredStoreTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/RestoredStoreTest.kt
@@ -62,11 +62,6 @@
         fixture.store.restore(copy)
         timers.advance(1_000)
         fixture.targets.partitionedPaths += (1..4).map { "host-$it/r1" }
-        var isReplaced = false
-        var lateCommits = 0
-        var acknowledgedLate = 0
-        fixture.onPromoted = { isReplaced = true }
-        fixture.targets.onCommit = { target, _ -> if (isReplaced && target.id == "r1") lateCommits++ }
         val caller = FakeCaller()
         val session = fixture.open(caller, host = 0)
         for (host in 1..4) fixture.open(FakeCaller(), host = host).onStatement("w", write)
@@ -74,14 +69,7 @@
         fixture.cutPaths += (1..4).map { "host-$it>host-0" }
         fixture.hostsWithoutPlatform += "host-0"
 
-        repeat(200) {
-            val before = lateCommits
-            val answer = fixture.ask(session, caller, write, millis = 20)
-            if (lateCommits > before && answer != null && answer.error == null) acknowledgedLate++
-        }
-
-        assertTrue(isReplaced)
-        assertEquals(0, acknowledgedLate)
+        assertEquals(0, fixture.countLateAcknowledgements(session, caller, write, replaced = "r1", attempts = 200))
     }
 
     @Test
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -6,6 +6,7 @@
 import dev.cardamomlane.engine.HostFixture
 import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.Statement
+import dev.cardamomlane.engine.targetEntry
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -88,22 +89,10 @@
         fixture.timers.advance(300)
         assertTrue(fixture.store.seats.none { it.member.name == lost })
         for (host in fixture.hosts.indices - lostIndex) fixture.targets.partitionedPaths += "host-$host/p"
-        var isReplaced = false
-        fixture.onPromoted = { isReplaced = true }
-        var lateCommits = 0
-        fixture.targets.onCommit = { target, _ -> if (isReplaced && target.id == "p") lateCommits++ }
         val session = fixture.open(caller, host = lostIndex)
-        var acknowledgedLate = 0
         for (host in fixture.hosts.indices - lostIndex) fixture.open(FakeCaller(), host = host).onStatement("w", write)
 
-        repeat(150) {
-            val before = lateCommits
-            val answer = fixture.ask(session, caller, write, millis = 20)
-            if (lateCommits > before && answer != null && answer.error == null) acknowledgedLate++
-        }
-
-        assertTrue(isReplaced)
-        assertEquals(0, acknowledgedLate)
+        assertEquals(0, fixture.countLateAcknowledgements(session, caller, write, replaced = "p", attempts = 150))
     }
 
     @Test
@@ -162,7 +151,7 @@
         useEverywhere()
         fixture.timers.advance(200)
         val entries =
-            listOf(fixture.entry("p", isPrimary = true, isDraining = true), fixture.entry("r1"), fixture.entry("r2"))
+            listOf(targetEntry("p", isPrimary = true, isDraining = true), targetEntry("r1"), targetEntry("r2"))
         fixture.hosts.forEach { it.updateTargets(entries, StorePosition(1, 2)) }
         fixture.timers.advance(300)
         assertTrue(fixture.promotions.isEmpty(), "no replica has caught up yet")
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetListTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetListTest.kt
@@ -1,10 +1,9 @@
 package dev.cardamomlane.engine.target
 
-import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.ManualTimerService
-import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.engine.fleet.StorePosition
 import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.targetEntry
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -14,17 +13,7 @@
     private var version = 100L
 
     private fun entry(id: String, sequence: Long, isDraining: Boolean = false, startedAtUnixMillis: Long = 1) =
-        TargetEntry(
-            id = TargetId(id),
-            group = DatabaseId("g"),
-            address = id,
-            zone = "a",
-            slotCount = 5,
-            isDraining = isDraining,
-            isPrimary = false,
-            startedAtUnixMillis = startedAtUnixMillis,
-            sequence = sequence,
-        )
+        targetEntry(id, isDraining = isDraining, startedAtUnixMillis = startedAtUnixMillis, sequence = sequence)
 
     private fun update(vararg entries: TargetEntry, epoch: Long = 1) =
         list.update(entries.toList(), StorePosition(epoch, version++))
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetTest.kt
@@ -1,13 +1,12 @@
 package dev.cardamomlane.engine.target
 
-import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.ManualTimerService
-import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.engine.FakeTargets
 import dev.cardamomlane.engine.log.DecisionLog
 import dev.cardamomlane.engine.session.SessionState
 import dev.cardamomlane.engine.statement.TargetStatement
+import dev.cardamomlane.engine.targetEntry
 import kotlin.test.Test
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
@@ -15,20 +14,10 @@
 class TargetTest {
     private val timers = ManualTimerService()
     private val targets = FakeTargets(timers)
-    private val target = Target(entry("p"), timers, targets, DecisionLog.None, UsesEachIdleConnection())
+    private val target =
+        Target(targetEntry("p", isPrimary = true), timers, targets, DecisionLog.None, UsesEachIdleConnection())
     private var answered = 0
 
-    private fun entry(id: String) = TargetEntry(
-        id = TargetId(id),
-        group = DatabaseId("g"),
-        address = id,
-        zone = "a",
-        slotCount = 5,
-        isDraining = false,
-        isPrimary = true,
-        startedAtUnixMillis = 1,
-    )
-
     /** Sends a statement over an idle connection whenever there is capacity, as a group with queued work does. */
     private inner class UsesEachIdleConnection : TargetListener {
         override fun onCapacity(target: Target) {
