The settlement of a restored store's epoch asks only listed targets; a gauge tells the settled epoch

A group whose targets are all unlisted can't answer a survey, so the settlement waited for targets that are gone. The gauge settled_epoch tells operators when rows of a restored store count as proof again.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -16,6 +16,7 @@
 import dev.cardamomlane.engine.fleet.PeerMessage
 import dev.cardamomlane.engine.fleet.PeerNetwork
 import dev.cardamomlane.engine.fleet.PromotionCall
+import dev.cardamomlane.engine.fleet.SettledEpoch
 import dev.cardamomlane.engine.fleet.StorePosition
 import dev.cardamomlane.engine.fleet.Takeover
 import dev.cardamomlane.engine.forward.ForwardedOperations
@@ -91,6 +92,9 @@
     /** The age of this host's proof, as [GroupRecords] defines it. */
     public fun proofAgeMillis(): Long = timers.nowMillis() - groupRecords.provedAtMillis
 
+    /** The newest settled epoch of the store, see [SettledEpoch]; while it is below the store's, rows are no proof. */
+    public val settledEpoch: Long get() = fleet.controlTable.rows?.settled?.epoch ?: StorePosition.UNKNOWN_EPOCH
+
     /** The number of sessions, those that wait to be opened included. */
     public val sessionCount: Int get() = sessions.size
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
@@ -137,7 +137,7 @@
         stored != null && known != null && stored.name == known.name && stored.incarnation > known.incarnation
 
     private fun settleFromTargets(rows: ControlRows) {
-        val asked = groups().filter { it.targets.isNotEmpty() }
+        val asked = groups().filter { it.listedTargets.isNotEmpty() }
         if (asked.isEmpty() || asked.any { it.controlCustomer == null }) return
         isBusy = true
         val surveys = asked.map { PrimarySurvey(it, groupRecords.record(it.id)) }
