Features: the optional parts that a host's settings switch on; design page of the parts to come

Settings name contracts; platform/ translates them to Features, which ProxyHost and sessions can read. All are off by default, and nothing uses them yet. docs/design/overview.md says what each part must do, its interfaces and its failures.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -5,6 +5,7 @@
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.config.Configuration
+import dev.cardamomlane.engine.config.Features
 import dev.cardamomlane.engine.fleet.ControlStore
 import dev.cardamomlane.engine.fleet.CustomerDemand
 import dev.cardamomlane.engine.fleet.Fleet
@@ -53,6 +54,7 @@
     private val promotion: PromotionCall,
     override val log: DecisionLog,
     private val meter: RequestMeter,
+    override val features: Features = Features.NONE,
 ) : SessionServices,
     HeartbeatDelegate {
     private val groupRecords = GroupRecords()
@@ -135,7 +137,7 @@
 
     /** Joins the fleet and starts the periodic work. To be called once. */
     public fun start() {
-        log.event("host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation)
+        log.event("host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation, "features", features)
         fleet.refresh()
         timers.every(Fleet.HEARTBEAT_MILLIS) { onHeartbeat() }
         timers.every(TICK_INTERVAL_MILLIS) { onTick() }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SessionServices.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SessionServices.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.config.Configuration
+import dev.cardamomlane.engine.config.Features
 import dev.cardamomlane.engine.forward.Forwarder
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.log.DecisionLog
@@ -13,6 +14,9 @@
     public val log: DecisionLog
     public val gate: AdmissionGate
 
+    /** The optional features that are on. */
+    public val features: Features
+
     /** Chooses the hosts on which operations run. */
     public val forwarder: Forwarder
 
