Fleet: a host that starts queries the members as soon as it has read their list

Cause: a host without a seat queried members at the ticks of its heartbeat timer, at most each 500 ms, and the first tick came before it had read which members there are.

Change: new members are queried at once while none is usable, and at twice the usual pace until one is.

ForwardingTest, a host that starts beside running members serves as soon as it has read their list: failed before.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -122,7 +122,7 @@
     }
 
     private fun tickWithoutSeat(nowMillis: Long) {
-        if (nowMillis - tickedAtMillis >= MemberDirectory.QUERY_INTERVAL_MILLIS) {
+        if (nowMillis - tickedAtMillis >= directory.queryIntervalMillis(nowMillis)) {
             tickedAtMillis = nowMillis
             directory.tick()
         }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberDirectory.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/MemberDirectory.kt
@@ -41,8 +41,12 @@
         answeredAtMillis = timers.nowMillis()
     }
 
-    /** Replaces the members by those that were read from the store. */
-    internal fun onRows(members: Collection<Member>) = replace(members)
+    /** Replaces the members by those that were read from the store. Queries new ones at once while none is usable. */
+    internal fun onRows(members: Collection<Member>) {
+        val hasNew = members.any { it.name != self.name && entries[it.name]?.member != it }
+        replace(members)
+        if (hasNew && usable(timers.nowMillis()).isEmpty()) tick()
+    }
 
     private fun replace(members: Collection<Member>) {
         entries.keys.retainAll(members.mapTo(HashSet()) { it.name })
@@ -68,7 +72,7 @@
         }
     }
 
-    /** Queries two members. Called every [QUERY_INTERVAL_MILLIS]. */
+    /** Queries two members. Called every [queryIntervalMillis]. */
     internal fun tick() {
         if (entries.isEmpty()) return
         val nowMillis = timers.nowMillis()
@@ -80,6 +84,10 @@
         query(members[turn++ % members.size].member)
     }
 
+    /** The interval between two calls of [tick]: shorter while this host can't serve, as no member is usable. */
+    internal fun queryIntervalMillis(nowMillis: Long): Long =
+        if (usable(nowMillis).isEmpty()) UNSERVED_QUERY_INTERVAL_MILLIS else QUERY_INTERVAL_MILLIS
+
     private fun query(member: Member) {
         network.send(member.address, PeerMessage(self.name, self.incarnation, query = MemberQuery(self.address)))
     }
@@ -117,8 +125,9 @@
     }
 
     public companion object {
-        /** The interval of [tick]. */
-        public const val QUERY_INTERVAL_MILLIS: Long = 500
+        /** The interval of [tick], and the one while no member is usable. */
+        private const val QUERY_INTERVAL_MILLIS = 500L
+        private const val UNSERVED_QUERY_INTERVAL_MILLIS = 250L
 
         /** How long a list of members counts, when no newer one arrives. Several queries in a row may be lost. */
         private const val LIST_MAX_AGE_MILLIS = 3_000L
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -37,6 +37,15 @@
         assertTrue(fixture.hosts.all { it.isReady })
     }
 
+    /** Guards against a host that waits for its next query although it has just read which members there are. */
+    @Test
+    fun `a host that starts beside running members serves as soon as it has read their list`() {
+        fixture.restart(forwarder)
+        fixture.timers.advance(START_MILLIS)
+
+        assertTrue(fixture.hosts[forwarder].isReady)
+    }
+
     @Test
     fun `a host without a seat opens no connection to a target`() {
         val session = open()
@@ -261,6 +270,9 @@
     }
 
     private companion object {
+        /** Enough for the first read of the store, a query and its answer. */
+        const val START_MILLIS = 50L
+
         const val HOSTS = 14
     }
 }
