limits: a customer over its rate spends it on its more urgent operations

Cause: the tokens of a customer over its rate went to whatever arrived first, and to those that may wait longest for one: the least urgent, whose goal is the longest.

Change: with schedulesByValue, PriorityAdmission measures the demand by priority, divides the rate (a tenth for each priority, the rest in order) and refuses what exceeds a priority's part at once, as not run. Tokens are still taken one for each operation. Without the switch nothing changes.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
@@ -46,6 +46,24 @@
         return Admission.Refused(RefusalReason.OVER_RATE, state.waitMillis(hostCount))
     }
 
+    /**
+     * Counts one request of [customer] as demand, and returns what this host can spend on it. Takes no token: a request
+     * that is to run then needs [admitAgain].
+     */
+    public fun onRequest(customer: CustomerId, allowance: Allowance, hostCount: Int, nowMillis: Long): TokenBudget {
+        require(hostCount >= 1) { "hostCount must be at least 1 but was $hostCount" }
+        val state = states.getOrPut(customer) { newState(customer, allowance, nowMillis) }
+        state.allowance = allowance
+        state.arrivals++
+        val shares = shares(customer, state, hostCount, nowMillis)
+        state.refill(shares, nowMillis)
+        return state.budget(shares)
+    }
+
+    /** True when another host reported demand of [customer]. */
+    public fun isSharedWithOthers(customer: CustomerId): Boolean =
+        reportByHost.values.any { (it.usages[customer]?.demandPerSecond ?: 0.0) > 0 }
+
     /** Decides again on a request that [admit] refused, without counting it as demand a second time. */
     public fun admitAgain(customer: CustomerId, allowance: Allowance, hostCount: Int, nowMillis: Long): Admission {
         states[customer]?.let { it.arrivals-- }
@@ -164,6 +182,13 @@
             grantTokens = minOf(maxGrantTokens, grantTokens + newTokens * ownShare)
         }
 
+        /** Without demand elsewhere this host spends all that is known to remain, since each grant renews from it. */
+        fun budget(shares: Shares) = TokenBudget(
+            ratePerSecond = allowance.ratePerSecond * maxOf(0.0, if (isSole) shares.knownShare else ownShare),
+            levelTokens = maxOf(0.0, minOf(grantTokens, remainingTokens)),
+            capacityTokens = maxOf(MIN_TOKENS, capacityTokens * ownShare * grantFraction),
+        )
+
         fun take(hostCount: Int): Boolean {
             if (grantTokens >= 1) {
                 grantTokens--
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/RefusalReason.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/RefusalReason.kt
@@ -5,6 +5,9 @@
     /** The customer used up its rate and burst on this host and no other host lent any. */
     OVER_RATE("customer is over its rate"),
 
+    /** The customer is over its rate, and the rate goes to its more urgent requests. */
+    LESS_URGENT("customer is over its rate, more urgent statements go first"),
+
     /** This host awaits the answer to a loan request, which usually takes a few milliseconds. */
     BORROWING("share of the rate is being fetched from another host"),
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
@@ -19,24 +19,31 @@
  * Applies the customers' rates to the operations that this host runs, by its share of the demand on all members.
  *
  * Not safe for use by several threads.
+ *
+ * @param urgency divides the rate of a customer that is over it by priority, or null where arrival alone decides
  */
 internal class CustomerLimits(
     private val fleet: Fleet,
     private val groupRecords: GroupRecords,
     private val timers: TimerService,
+    private val urgency: RateByUrgency? = null,
 ) : AdmissionGate {
     private val shares = DemandShareLimiter(
         startedAtMillis = timers.nowMillis(),
         baseFraction = DemandShareLimiter.PLACED_BASE_FRACTION,
     )
 
-    override fun admit(customer: Customer, isRepeated: Boolean): Admission {
+    override fun admit(customer: Customer, priority: Int, isRepeated: Boolean): Admission {
         val nowMillis = timers.nowMillis()
         if (!groupRecords.isCurrent(nowMillis)) {
             return Admission.Refused(RefusalReason.NOT_IN_STANDING, NO_PROOF_RETRY_MILLIS)
         }
         val allowance = customer.allowance ?: return Admission.Admitted
-        val admission = if (isRepeated) {
+        if (urgency != null && !isRepeated) {
+            val budget = shares.onRequest(customer.id, allowance, fleet.size, nowMillis)
+            urgency.refusal(customer.id, priority, budget, nowMillis)?.let { return it }
+        }
+        val admission = if (isRepeated || urgency != null) {
             shares.admitAgain(customer.id, allowance, fleet.size, nowMillis)
         } else {
             shares.admit(customer.id, allowance, fleet.size, nowMillis)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -61,7 +61,8 @@
     private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
     private val fleet = Fleet(self, zones, { groups.values }, timers, store, network, groupRecords, log, this)
     private val forwarded = ForwardedOperations(this, timers) { fleet.isRegistered && !isClosing() }
-    private val limits = CustomerLimits(fleet, groupRecords, timers)
+    private val urgency = if (features.schedulesByValue) RateByUrgency(log) else null
+    private val limits = CustomerLimits(fleet, groupRecords, timers, urgency)
     private val cutOff = CutOffWatch(fleet, groupRecords, timers, log)
     private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
     private val sessions = LinkedHashSet<CallerSession>()
@@ -97,6 +98,9 @@
     /** The newest settled epoch of the store, see [SettledEpoch]; while it is below the store's, rows are no proof. */
     public val settledEpoch: Long get() = fleet.controlTable.rows?.settled?.epoch ?: StorePosition.UNKNOWN_EPOCH
 
+    /** Operations refused here because more urgent ones of their customers use up the rate. */
+    public val refusedByPriorityCount: Long get() = urgency?.refusedCount ?: 0
+
     /** The number of sessions, those that wait to be opened included. */
     public val sessionCount: Int get() = sessions.size
 
@@ -137,7 +141,10 @@
 
     /** Joins the fleet and starts the periodic work. To be called once. */
     public fun start() {
-        log.event("host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation, "features", features)
+        log.event(
+            "host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation,
+            "features", features,
+        )
         fleet.refresh()
         timers.every(Fleet.HEARTBEAT_MILLIS) { onHeartbeat() }
         timers.every(TICK_INTERVAL_MILLIS) { onTick() }
--- /dev/null
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/RateByUrgency.kt
@@ -0,0 +1,57 @@
+package dev.cardamomlane.engine
+
+import dev.cardamomlane.core.CustomerId
+import dev.cardamomlane.core.limits.Admission
+import dev.cardamomlane.core.limits.PriorityAdmission
+import dev.cardamomlane.core.limits.TokenBudget
+import dev.cardamomlane.engine.log.DecisionLog
+
+/**
+ * Gives the tokens of the customers that are over their rates to their more urgent operations, with one
+ * [PriorityAdmission] for each customer. Counts and logs what is refused for that reason.
+ *
+ * Not safe for use by several threads.
+ */
+internal class RateByUrgency(private val log: DecisionLog) {
+    private val customers = HashMap<CustomerId, CustomerState>()
+
+    /** Operations refused by priority since the start. */
+    var refusedCount = 0L
+        private set
+
+    /** Returns the refusal of an operation that must leave [budget] to more urgent ones, or null when there is none. */
+    fun refusal(customer: CustomerId, priority: Int, budget: TokenBudget, nowMillis: Long): Admission.Refused? {
+        val state = customers.getOrPut(customer) { CustomerState() }
+        val admission = state.admission.decide(priority, budget, nowMillis)
+        if (admission !is Admission.Refused) return null
+        refusedCount++
+        state.refusedByPriority.merge(priority, 1, Int::plus)
+        if (state.loggedAtMillis == null || nowMillis - checkNotNull(state.loggedAtMillis) >= LOG_INTERVAL_MILLIS) {
+            logRefusals(customer, state, budget, nowMillis)
+        }
+        return admission
+    }
+
+    private fun logRefusals(customer: CustomerId, state: CustomerState, budget: TokenBudget, nowMillis: Long) {
+        state.loggedAtMillis = nowMillis
+        log.event(
+            "limits", "refused_by_priority", "customer", customer.value,
+            "refused", state.refusedByPriority.entries.joinToString(" ") { (priority, count) -> "$priority:$count" },
+            "rate_per_s", budget.ratePerSecond.toInt(), "level", budget.levelTokens.toInt(),
+        )
+        state.refusedByPriority.clear()
+    }
+
+    private class CustomerState {
+        val admission = PriorityAdmission()
+
+        /** Operations refused since the last log line. */
+        val refusedByPriority = sortedMapOf<Int, Int>()
+        var loggedAtMillis: Long? = null
+    }
+
+    private companion object {
+        /** The least time between two log lines about one customer. */
+        const val LOG_INTERVAL_MILLIS = 1_000L
+    }
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
@@ -136,7 +136,8 @@
         then: () -> Unit,
     ) {
         if (!context.isWanted()) return
-        val admission = customer?.let { services.gate.admit(it, retriesLeft < MAX_RETRIES) } ?: Admission.Admitted
+        val admission = customer?.let { services.gate.admit(it, route.priority, retriesLeft < MAX_RETRIES) }
+            ?: Admission.Admitted
         if (admission !is Admission.Refused) return then()
         val waitedMillis = services.timers.nowMillis() - context.arrivedAtMillis
         val isWithinLimit =
@@ -147,7 +148,9 @@
             }
             return
         }
-        val code = if (admission.reason == RefusalReason.OVER_RATE) ErrorCode.BUSY else ErrorCode.UNAVAILABLE
+        val isForRate =
+            admission.reason == RefusalReason.OVER_RATE || admission.reason == RefusalReason.LESS_URGENT
+        val code = if (isForRate) ErrorCode.BUSY else ErrorCode.UNAVAILABLE
         val text = "${admission.reason.text}, not run, retry after ${admission.retryAfterMillis} ms"
         onRefused(OperationRefusal(code, text, route))
     }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -7,6 +7,7 @@
 import dev.cardamomlane.engine.config.Configuration
 import dev.cardamomlane.engine.config.Consistency
 import dev.cardamomlane.engine.config.Customer
+import dev.cardamomlane.engine.config.Features
 import dev.cardamomlane.engine.config.GroupPolicy
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.fleet.Member
@@ -30,6 +31,7 @@
     settleMillis: Long = 1_000,
     private val isConfigured: Boolean = true,
     private val isReplicatedBeforeAcknowledged: Boolean = false,
+    private val features: Features = Features.NONE,
 ) {
     val timers = ManualTimerService()
     val targets = FakeTargets(timers)
@@ -110,6 +112,7 @@
             },
             log = DecisionLog.None,
             meter = { _, _, _ -> },
+            features = features,
         )
         hostsByAddress[name] = host
         links.add(name, host)
