Tests count the bytes of control traffic by kind of message

The cost of traffic between hosts was known only from packet counts of whole runs. The fakes now encode every datagram, and count messages and bytes by kind, with TrafficCounts, which the platform can use as well.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -6,12 +6,17 @@
 import dev.cardamomlane.engine.forward.HostLinkListener
 import dev.cardamomlane.engine.forward.HostMessage
 import dev.cardamomlane.engine.forward.HostMessageCodec
+import dev.cardamomlane.engine.log.TrafficKind
 
 /**
  * The connections between hosts in memory. Every message passes the codec. While [isPartitioned] returns true for two
- * hosts, nothing arrives between them.
+ * hosts, nothing arrives between them. [onSent] receives the kind and the bytes of each message.
  */
-class FakeHostLinks(private val timers: TimerService, private val isPartitioned: (String, String) -> Boolean) {
+class FakeHostLinks(
+    private val timers: TimerService,
+    private val onSent: (TrafficKind, Int) -> Unit,
+    private val isPartitioned: (String, String) -> Boolean,
+) {
     private val hosts = HashMap<String, ProxyHost>()
     private val ends = ArrayList<End>()
 
@@ -73,6 +78,7 @@
 
         private fun deliver(message: HostMessage) {
             val bytes = HostMessageCodec.encode(message)
+            onSent(TrafficKind.of(message), bytes.size)
             timers.after(DELAY_MILLIS) {
                 if (other.isClosed || isPartitioned(from, to)) return@after
                 if (message.request != null) requestCounts.merge(to, 1, Int::plus)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -10,10 +10,13 @@
 import dev.cardamomlane.engine.config.GroupPolicy
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.fleet.Member
+import dev.cardamomlane.engine.fleet.PeerCodec
 import dev.cardamomlane.engine.fleet.PeerMessage
 import dev.cardamomlane.engine.fleet.PromotionOutcome
 import dev.cardamomlane.engine.fleet.StorePosition
 import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.log.TrafficCounts
+import dev.cardamomlane.engine.log.TrafficKind
 import dev.cardamomlane.engine.session.CallerSession
 import dev.cardamomlane.engine.statement.CallerAnswer
 import dev.cardamomlane.engine.statement.Statement
@@ -48,6 +51,10 @@
     /** How many datagrams each host has sent or received, by its name. */
     val datagramCounts = HashMap<String, Int>()
 
+    /** The messages that hosts have sent each other, by kind. */
+    var traffic = TrafficCounts()
+        private set
+
     /** Names of hosts that exchange no messages with other hosts. */
     val partitionedHosts = HashSet<String>()
 
@@ -60,7 +67,9 @@
     val hosts: List<ProxyHost> get() = runningHosts
 
     /** The connections between the hosts. */
-    val links = FakeHostLinks(timers) { from, to -> from in partitionedHosts || to in partitionedHosts }
+    val links = FakeHostLinks(timers, { kind, sizeBytes -> traffic.count(kind, sizeBytes) }) { from, to ->
+        from in partitionedHosts || to in partitionedHosts
+    }
     private val hostsByAddress = HashMap<String, ProxyHost>()
 
     init {
@@ -119,8 +128,15 @@
     private fun deliver(from: String, to: String, message: PeerMessage) {
         datagramCounts.merge(from, 1, Int::plus)
         datagramCounts.merge(to, 1, Int::plus)
+        val bytes = PeerCodec.encode(message)
+        traffic.count(TrafficKind.of(message), bytes.size)
         if (from in partitionedHosts || to in partitionedHosts || "$from>$to" in cutPaths) return
-        timers.after(1) { hostsByAddress[to]?.onPeerMessage(message) }
+        timers.after(1) { hostsByAddress[to]?.onPeerMessage(checkNotNull(PeerCodec.decode(bytes))) }
+    }
+
+    /** Counts [traffic] anew. */
+    fun resetTraffic() {
+        traffic = TrafficCounts()
     }
 
     private fun promote(id: String, fence: Long): PromotionOutcome {
