Heartbeats are compressed against the last one that the peer acknowledged

Four times a second each member sent every other one its whole state, most of it the same as before: names, records, fences, the customers' demand.

A heartbeat is now encoded as before, then compressed in the zlib format with the newest earlier heartbeat that the peer has acknowledged, and that is at most 800 ms old, as its dictionary. The receiver gets exactly the bytes of the whole heartbeat, whatever fields it has, so nothing that reads heartbeats changes. The format's checksums cover the heartbeat and the base; a mismatch counts as a lost datagram. A peer is sent plain heartbeats until it has shown that it reads the compressed form, so hosts of the previous build are read and can read.

Measured by ControlTrafficTest (9 members, 6 groups, 71 customers, 10 s of load): 101 bytes a heartbeat on average instead of 517, 292,416 bytes in all instead of 1,490,016.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -137,7 +137,10 @@
 
     /** Joins the fleet and starts the periodic work. To be called once. */
     public fun start() {
-        log.event("host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation, "features", features)
+        log.event(
+            "host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation,
+            "features", features,
+        )
         fleet.refresh()
         timers.every(Fleet.HEARTBEAT_MILLIS) { onHeartbeat() }
         timers.every(TICK_INTERVAL_MILLIS) { onTick() }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -34,6 +34,7 @@
     private val delegate: HeartbeatDelegate,
 ) {
     private val random = Random(self.name.hashCode() + self.incarnation)
+    private val compression = HeartbeatCompression()
     private val peersByName = sortedMapOf<String, Peer>()
 
     /** The control rows in the store. */
@@ -154,7 +155,7 @@
                 groups = groups,
                 demand = demand,
             )
-            network.send(peer.member.address, PeerMessage(self.name, self.incarnation, message))
+            network.send(peer.member.address, peer.encoder.encode(self.name, self.incarnation, message))
         }
     }
 
@@ -184,7 +185,7 @@
         if (message.from == self.name) return
         message.query?.let(::answer)
         message.list?.let { directory.onList(message.from, it) }
-        message.heartbeat?.let { onHeartbeat(message.from, message.incarnation, it) }
+        if (message.heartbeat != null || message.compressed != null) onHeartbeat(message)
     }
 
     private fun answer(query: MemberQuery) {
@@ -201,12 +202,14 @@
         return MemberList(others + ListedMember(self, delegate.isReady), delegate.configurationVersion)
     }
 
-    private fun onHeartbeat(from: String, incarnation: Long, heartbeat: Heartbeat) {
-        val peer = peersByName[from]
-        if (peer == null || peer.member.incarnation != incarnation) {
+    private fun onHeartbeat(message: PeerMessage) {
+        val peer = peersByName[message.from]
+        if (peer == null || peer.member.incarnation != message.incarnation) {
+            peer?.encoder?.onRestarted()
             storeReader.read()
             return
         }
+        val heartbeat = peer.decode(message) ?: return
         val nowMillis = timers.nowMillis()
         if (!peer.receive(heartbeat, self.incarnation, nowMillis)) return
         val records = heartbeat.groups.mapNotNull { it.record() }
@@ -288,7 +291,8 @@
         val before = if (hasReadMembers) peersByName.keys.toSet() else null
         peersByName.keys.retainAll(names)
         for (member in members) {
-            if (peersByName[member.name]?.member != member) peersByName[member.name] = Peer(member, timers.nowMillis())
+            if (peersByName[member.name]?.member == member) continue
+            peersByName[member.name] = Peer(member, timers.nowMillis(), compression)
         }
         val all = (if (isRegistered) names + self.name else names).sorted()
         membersHash = all.hashCode()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
@@ -7,7 +7,16 @@
  *
  * @param listedAtMillis when this host first read of the member
  */
-public class Peer(public val member: Member, internal val listedAtMillis: Long) {
+public class Peer internal constructor(
+    public val member: Member,
+    internal val listedAtMillis: Long,
+    compression: HeartbeatCompression = HeartbeatCompression(),
+) {
+    private val decoder = HeartbeatDecoder(compression)
+
+    /** Encodes the heartbeats to the peer. */
+    internal val encoder: HeartbeatEncoder = HeartbeatEncoder(compression)
+
     /** The newest heartbeat by the peer's clock, or null before the first. */
     public var lastHeartbeat: Heartbeat? = null
         private set
@@ -23,6 +32,12 @@
     public var sentNotBeforeMillis: Long = GroupRecords.NEVER
         private set
 
+    /** Returns the heartbeat that [message] carries, or null when it carries none that can be decoded here. */
+    internal fun decode(message: PeerMessage): Heartbeat? {
+        if (message.readsCompressed || message.compressed != null) encoder.onReadable()
+        return message.heartbeat ?: message.compressed?.let(decoder::decode)
+    }
+
     /**
      * Records a heartbeat of the incarnation that [member] names. Returns false, and ignores it, if it is no newer than
      * the last one.
@@ -34,6 +49,9 @@
         receivedAtMillis = nowMillis
         if (heartbeat.answeredSentAtMillis >= 0 && heartbeat.answeredIncarnation == ownIncarnation) {
             sentNotBeforeMillis = heartbeat.answeredSentAtMillis + heartbeat.answeredHeldMillis
+            encoder.onAcknowledged(heartbeat.answeredSentAtMillis)
+        } else {
+            encoder.onAcknowledged(CompressedHeartbeat.NO_BASE)
         }
         return true
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -4,7 +4,13 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
-/** A datagram from the [incarnation] of the host [from]. Exactly one of the other properties is set. */
+/**
+ * A datagram from the [incarnation] of the host [from], which carries one of [heartbeat], [query], [list] and
+ * [compressed].
+ *
+ * @property compressed a heartbeat for a host that reads this form; earlier builds ignore it
+ * @property readsCompressed true when the sender reads compressed heartbeats; one that sends them does in any case
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class PeerMessage(
@@ -13,4 +19,6 @@
     @CborLabel(3) val heartbeat: Heartbeat? = null,
     @CborLabel(4) val query: MemberQuery? = null,
     @CborLabel(5) val list: MemberList? = null,
+    @CborLabel(6) val compressed: CompressedHeartbeat? = null,
+    @CborLabel(7) val readsCompressed: Boolean = false,
 )
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/ControlTrafficTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/ControlTrafficTest.kt
@@ -112,9 +112,10 @@
 
         /** The most bytes that a message of each kind may have on average, a little above the measured ones. */
         val BOUNDS_BYTES = mapOf(
-            TrafficKind.HEARTBEAT to 5_000L,
-            TrafficKind.OPERATION_REQUEST to 5_000L,
-            TrafficKind.OPERATION_ANSWER to 5_000L,
+            TrafficKind.HEARTBEAT to 120L,
+            TrafficKind.MEMBER_LIST to 700L,
+            TrafficKind.OPERATION_REQUEST to 75L,
+            TrafficKind.OPERATION_ANSWER to 26L,
         )
     }
 }
