core, engine: the capacity of targets is learned from the answers of all members

Cause: AdaptiveLimit learns on each member alone, over 48 answers of all routes mixed, and the cost of a read knows nothing of other members' load.

Change: LearnedCapacity compares answers with the unloaded time of the same kind of work, searches for the limit by Little's law and small probes, and takes a target out of use that fails more than the others of its group. Members exchange their measurements in a new field of the peer message, which the previous build ignores. A read goes where the expected time is shortest. Features.learnsCapacity switches it; without it FixedCapacity behaves as before.

--- /dev/null
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LearnedCapacity.kt
@@ -0,0 +1,199 @@
+package dev.cardamomlane.core.capacity
+
+import kotlin.math.abs
+import kotlin.math.ceil
+import kotlin.math.roundToInt
+
+/**
+ * A [TargetCapacity] that is learned from the answers that all members see.
+ *
+ * Time is divided into windows. At the end of each one, this member's measurements and those that the other members
+ * last reported give the load of the target, from which [LimitSearch] moves the limit. Times are compared with those of
+ * the same kind of work at the unloaded target, so that a shift of the mix does not look like load.
+ *
+ * @param slots how many statements the target accepts at once; the upper bound of the limit
+ * @param zone this member's availability zone
+ * @param othersFailureRate the rate of failures at the other targets of the group
+ */
+public class LearnedCapacity(
+    slots: Int,
+    private val zone: String,
+    private val listener: CapacityListener = CapacityListener.None,
+    private val othersFailureRate: () -> Double = { 0.0 },
+) : TargetCapacity {
+    private val search = LimitSearch(slots)
+    private val window = AnswerWindow()
+    private val evidence = LoadEvidence()
+    private val peers = PeerSamples()
+    private val targetHealth = TargetHealth()
+    private val timesByKind = LinkedHashMap<WorkKind, UnloadedTime>()
+    private var loggedLimit = slots.toDouble()
+    private var createdAtMillis = Long.MIN_VALUE
+    private var nowMillis = 0L
+
+    init {
+        require(slots >= 1) { "slots must be at least 1 but was $slots" }
+    }
+
+    /** What this member measured in its last window, or null before the first one. */
+    public var sample: CapacitySample? = null
+        private set
+
+    /** [limit] before rounding. */
+    public val exactLimit: Double get() = search.limit
+
+    override val limit: Int get() = maxOf(1, search.limit.roundToInt())
+
+    override var serviceMillis: Double = INITIAL_SERVICE_MILLIS
+        private set
+
+    override val health: Double get() = targetHealth.health(othersFailureRate(), nowMillis)
+
+    override val hasRoom: Boolean get() = window.runningCount < share
+
+    override val isInUse: Boolean get() = window.runningCount < targetHealth.maxRunning(nowMillis)
+
+    override val totalRunningCount: Double get() = window.runningCount + peers.running
+
+    /** The failures and answers of this target at this member. */
+    public val failedCount: Double get() = targetHealth.own.failedCount
+    public val answeredCount: Double get() = targetHealth.own.totalCount
+
+    /** The part of the limit that this member may use: what others leave, its equal part, and at least one. */
+    private val share: Int
+        get() {
+            val total = search.probedLimit.roundToInt()
+            return maxOf(1, total / (peers.activeCount + 1), total - ceil(peers.running - ROUNDING).toInt())
+        }
+
+    override fun expectedMillis(kind: WorkKind, nowMillis: Long): Double? =
+        timesByKind[kind]?.takeIf { !it.millis.isNaN() }?.expectedMillis(zoneRatio(), nowMillis)
+
+    /** The load ratio that the other members of this zone report. */
+    private fun zoneRatio(): Double {
+        val samples = peers.byZone[zone] ?: return 1.0
+        val workPerSecond = samples.sumOf { it.workPerSecond }
+        return if (workPerSecond > 0) samples.sumOf { it.tookPerSecond } / workPerSecond else 1.0
+    }
+
+    override fun started(kind: WorkKind, nowMillis: Long) {
+        tick(nowMillis)
+        window.run(+1, nowMillis)
+    }
+
+    override fun answered(kind: WorkKind, tookMillis: Double, isSuccess: Boolean, nowMillis: Long) {
+        require(tookMillis >= 0) { "tookMillis must not be negative but was $tookMillis" }
+        window.run(-1, nowMillis)
+        recordOutcome(!isSuccess, nowMillis)
+        if (isSuccess) {
+            window.answer(tookMillis)
+            times(kind).add(tookMillis)
+        }
+        tick(nowMillis)
+    }
+
+    override fun refused(kind: WorkKind, nowMillis: Long): Unit = lost(kind, nowMillis)
+
+    override fun lost(kind: WorkKind, nowMillis: Long) {
+        window.run(-1, nowMillis)
+        failed(nowMillis)
+    }
+
+    override fun released(kind: WorkKind, nowMillis: Long) {
+        window.run(-1, nowMillis)
+        tick(nowMillis)
+    }
+
+    /** The target failed in a way that ends no statement: a connection was refused, or an answer is overdue. */
+    public fun failed(nowMillis: Long) {
+        recordOutcome(isFailure = true, nowMillis)
+        tick(nowMillis)
+    }
+
+    private fun recordOutcome(isFailure: Boolean, nowMillis: Long) {
+        this.nowMillis = nowMillis
+        val wasHealthy = targetHealth.isHealthy
+        val rateBefore = targetHealth.own.rate
+        if (isFailure) window.fail()
+        targetHealth.add(isFailure, othersFailureRate(), peers.byZone[zone].orEmpty(), nowMillis)
+        if (targetHealth.isHealthy != wasHealthy) listener.onUse(targetHealth.isHealthy, rateBefore)
+    }
+
+    /** Bounded, since routes may be renamed while the member runs. */
+    private fun times(kind: WorkKind): UnloadedTime = timesByKind.getOrPut(kind) {
+        if (timesByKind.size >= MAX_KINDS) timesByKind.remove(timesByKind.keys.first())
+        UnloadedTime()
+    }
+
+    /** Takes in what [member] of [zone] reports of this target. */
+    public fun onPeer(member: String, zone: String, sample: CapacitySample, nowMillis: Long) {
+        peers.put(member, zone, sample, nowMillis)
+        if (createdAtMillis == Long.MIN_VALUE) createdAtMillis = nowMillis
+        if (nowMillis - createdAtMillis < ADOPTING_MILLIS) adopt(peers.all.map { it.limit }.average())
+    }
+
+    private fun adopt(found: Double) {
+        if (found > search.limit) search.adopt(found)
+    }
+
+    /** Ends the window when it is long enough. To be called at short intervals. */
+    public fun tick(nowMillis: Long) {
+        this.nowMillis = nowMillis
+        if (createdAtMillis == Long.MIN_VALUE) createdAtMillis = nowMillis
+        peers.expire(nowMillis)
+        targetHealth.own.forget(nowMillis)
+        val durationMillis = window.durationMillis(nowMillis)
+        if (durationMillis >= WINDOW_MILLIS) endWindow(durationMillis, nowMillis)
+    }
+
+    private fun endWindow(durationMillis: Long, nowMillis: Long) {
+        val maxRunning = window.maxRunningCount + peers.running
+        val isUnloaded = maxRunning <= maxOf(UNLOADED_RUNNING, search.limit * UNLOADED_FRACTION)
+        val ratio = evidence.loadRatio.coerceAtLeast(zoneRatio())
+        if (!window.meanMillis.isNaN()) serviceMillis += (window.meanMillis - serviceMillis) * SERVICE_SMOOTHING
+        val isUsedInFull = window.maxRunningCount >= share
+        val workMillis = timesByKind.values.sumOf { it.endWindow(isUnloaded, ratio, nowMillis) }
+        val own = window.end(workMillis, search.limit, nowMillis)
+        sample = own
+        val samples = peers.byZone.toMutableMap()
+        samples[zone] = samples[zone].orEmpty() + own
+        evidence.add(samples, durationMillis.toDouble())
+        if (evidence.answeredCount >= MIN_ANSWERS) evaluate(own, isUsedInFull, nowMillis)
+        if (evidence.durationMillis >= MAX_EVIDENCE_MILLIS) evidence.clear()
+    }
+
+    private fun evaluate(own: CapacitySample, isUsedInFull: Boolean, nowMillis: Long) {
+        val isBusiest = own.running > 0 && peers.all.none { it.running > own.running }
+        search.onWindow(evidence.running, evidence.loadRatio, isUsedInFull && isBusiest, nowMillis)
+        evidence.clear()
+        if (abs(search.limit - loggedLimit) <= maxOf(1.0, loggedLimit) * LOGGED_CHANGE) return
+        listener.onLimit(loggedLimit, search.limit)
+        loggedLimit = search.limit
+    }
+
+    private companion object {
+        /** The assumed mean service time of a target that has not answered yet. */
+        const val INITIAL_SERVICE_MILLIS = 25.0
+        const val SERVICE_SMOOTHING = 0.5
+
+        /** Two windows with queueing and one heartbeat fit into the second in which a slow-down has to be detected. */
+        const val WINDOW_MILLIS = 200L
+
+        /** A member that has just started takes the limit that its peers have found. */
+        const val ADOPTING_MILLIS = 1_000L
+
+        /** Fewer answers say little about the load; they are kept for [MAX_EVIDENCE_MILLIS] until there are more. */
+        const val MIN_ANSWERS = 5.0
+        const val MAX_EVIDENCE_MILLIS = 2_000.0
+
+        /** A target that runs no more than one statement, or this part of its limit, does not queue. */
+        const val UNLOADED_RUNNING = 1.0
+        const val UNLOADED_FRACTION = 0.5
+
+        const val LOGGED_CHANGE = 0.2
+        const val MAX_KINDS = 64
+
+        /** The running count of others is a mean; a small rest of it is no statement. */
+        const val ROUNDING = 0.25
+    }
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -6,6 +6,7 @@
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.config.Configuration
 import dev.cardamomlane.engine.config.Features
+import dev.cardamomlane.engine.fleet.CapacityReport
 import dev.cardamomlane.engine.fleet.ControlStore
 import dev.cardamomlane.engine.fleet.CustomerDemand
 import dev.cardamomlane.engine.fleet.Fleet
@@ -63,6 +64,7 @@
     private val forwarded = ForwardedOperations(this, timers) { fleet.isRegistered && !isClosing() }
     private val limits = CustomerLimits(fleet, groupRecords, timers)
     private val cutOff = CutOffWatch(fleet, groupRecords, timers, log)
+    private val capacities = CapacityReports { groups.values }
     private val takeovers = LinkedHashMap<DatabaseId, Takeover>()
     private val sessions = LinkedHashSet<CallerSession>()
     private val stop = GracefulStop(sessions, forwarded, fleet, timers, log)
@@ -137,7 +139,10 @@
 
     /** Joins the fleet and starts the periodic work. To be called once. */
     public fun start() {
-        log.event("host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation, "features", features)
+        log.event(
+            "host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation,
+            "features", features,
+        )
         fleet.refresh()
         timers.every(Fleet.HEARTBEAT_MILLIS) { onHeartbeat() }
         timers.every(TICK_INTERVAL_MILLIS) { onTick() }
@@ -291,7 +296,7 @@
     }
 
     private fun newGroup(id: DatabaseId): DatabaseGroup {
-        val group = DatabaseGroup(id, self.zone, timers, dialer, groupRecords, log)
+        val group = DatabaseGroup(id, self.zone, timers, dialer, groupRecords, log, features.learnsCapacity)
         group.onConfirmed = fleet::heartbeat
         group.onPrimaryUnreachable = { fleet.heartbeatSoon(Fleet.URGENT_HEARTBEAT_GAP_MILLIS) }
         takeovers[id] = Takeover(
@@ -310,6 +315,11 @@
 
     override fun demand(nowMillis: Long): List<CustomerDemand> = limits.demand(nowMillis)
 
+    override fun capacityReports(): List<CapacityReport>? = if (features.learnsCapacity) capacities.own() else null
+
+    override fun onCapacityReports(peer: Peer, reports: List<CapacityReport>, nowMillis: Long): Unit =
+        capacities.onReports(peer, reports, nowMillis)
+
     public companion object {
         /** How long a session waits for this host to know configuration, fleet members and targets. */
         private const val MAX_OPEN_WAIT_MILLIS = 1_200L
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -135,6 +135,7 @@
         val nowMillis = timers.nowMillis()
         val groups = delegate.groupStatuses(nowMillis)
         val demand = delegate.demand(nowMillis)
+        val capacities = delegate.capacityReports()
         if (!isRegistered) return
         val heardMembers = heardMembers(nowMillis)
         heartbeatAtMillis = nowMillis
@@ -154,7 +155,10 @@
                 groups = groups,
                 demand = demand,
             )
-            network.send(peer.member.address, PeerMessage(self.name, self.incarnation, message))
+            network.send(
+                peer.member.address,
+                PeerMessage(self.name, self.incarnation, message, capacities = capacities),
+            )
         }
     }
 
@@ -185,6 +189,16 @@
         message.query?.let(::answer)
         message.list?.let { directory.onList(message.from, it) }
         message.heartbeat?.let { onHeartbeat(message.from, message.incarnation, it) }
+        message.capacities?.let { onCapacities(message, it) }
+    }
+
+    /** Reports count only with the heartbeat that they came with, if that is the peer's newest. */
+    private fun onCapacities(message: PeerMessage, reports: List<CapacityReport>) {
+        val peer = peersByName[message.from] ?: return
+        val isNewest = message.heartbeat?.sentAtMillis == peer.lastHeartbeat?.sentAtMillis
+        if (isNewest && peer.member.incarnation == message.incarnation) {
+            delegate.onCapacityReports(peer, reports, timers.nowMillis())
+        }
     }
 
     private fun answer(query: MemberQuery) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/HeartbeatDelegate.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/HeartbeatDelegate.kt
@@ -16,4 +16,10 @@
 
     /** Receives what the newest heartbeat of [peer] reports of its groups. */
     public fun onGroupStatuses(peer: Peer, statuses: List<GroupStatus>, nowMillis: Long)
+
+    /** What this host measures at the targets, or null while it reports nothing of them. */
+    public fun capacityReports(): List<CapacityReport>? = null
+
+    /** Receives what [peer] measures at the targets. */
+    public fun onCapacityReports(peer: Peer, reports: List<CapacityReport>, nowMillis: Long): Unit = Unit
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -4,7 +4,11 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
-/** A datagram from the [incarnation] of the host [from]. Exactly one of the other properties is set. */
+/**
+ * A datagram from the [incarnation] of the host [from]. Exactly one of [heartbeat], [query] and [list] is set.
+ *
+ * @property capacities what the sender of a heartbeat measured at the targets; hosts of earlier versions ignore it
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class PeerMessage(
@@ -13,4 +17,5 @@
     @CborLabel(3) val heartbeat: Heartbeat? = null,
     @CborLabel(4) val query: MemberQuery? = null,
     @CborLabel(5) val list: MemberList? = null,
+    @CborLabel(6) val capacities: List<CapacityReport>? = null,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -20,6 +20,7 @@
  * Not safe for use by several threads.
  *
  * @param zone this host's availability zone; targets in it are preferred
+ * @param learnsCapacity true when the concurrency of each target is learned, see `core/capacity`
  */
 public class DatabaseGroup(
     public val id: DatabaseId,
@@ -28,8 +29,10 @@
     dialer: TargetDialer,
     private val records: GroupRecords,
     private val log: DecisionLog,
+    private val learnsCapacity: Boolean = false,
 ) : TargetListener {
-    private val roster = TargetRoster(id, timers, dialer, records, log, listener = this)
+    private val roster =
+        TargetRoster(id, timers, dialer, records, log, listener = this, learnedZone = zone.takeIf { learnsCapacity })
     private val queue = WorkQueue()
     private val positions = PrimaryPositions()
     private var probedAtMillis = GroupRecords.NEVER
@@ -161,8 +164,11 @@
 
     private fun tryStart(work: Work, nowMillis: Long) {
         val placement = placement(work)
-        val usable = usableTargets(work, placement, nowMillis)
-        if (usable.isEmpty()) return
+        val candidates = usableTargets(work, placement, nowMillis)
+        if (candidates.isEmpty()) return
+        val choice = if (learnsCapacity) ReadChoice(work.kind, candidates, nowMillis) else null
+        val usable = choice?.usable ?: candidates
+        val cost: (Target) -> Double = { target -> choice?.let { learnedCost(it, target) } ?: cost(target) }
         val ready = usable.mapNotNull { target -> target.idle(work.customerName, work.state)?.let { target to it } }
             .filter { (target, _) -> target.hasSlot() }
             .minByOrNull { (target, connection) -> cost(target) + connection.setupCost(work.state) }
@@ -171,17 +177,17 @@
             target.take(connection)
             queue.remove(work)
             val isAtPrimary = target === primary && placement is Placement.Primary
-            if (!isAtPrimary && target === primary) dialReplica(work, usable)
+            if (!isAtPrimary && target === primary) dialReplica(work, usable, cost)
             work.run(target, connection, if (isAtPrimary) null else (placement as Placement.AnyAtPosition).position)
         } else if (nowMillis - work.dialedAtMillis > DIAL_INTERVAL_MILLIS) {
-            val target = usable.filter { it.hasSlot() }.minByOrNull(::cost) ?: return
+            val target = usable.filter { it.hasSlot() }.minByOrNull(cost) ?: return
             if (target.dial(work.customerName)) work.dialedAtMillis = nowMillis
         }
     }
 
     /** Opens a connection to a replica after a read went to the primary only because it had an idle connection. */
-    private fun dialReplica(work: Work, usable: List<Target>) {
-        val replica = usable.filter { it !== primary && it.connectionCount < it.connectionShare }.minByOrNull(::cost)
+    private fun dialReplica(work: Work, usable: List<Target>, cost: (Target) -> Double) {
+        val replica = usable.filter { it !== primary && it.connectionCount < it.connectionShare }.minByOrNull(cost)
         if (replica != null && replica.dialingCount(work.customerName) == 0) replica.dial(work.customerName)
     }
 
@@ -209,6 +215,9 @@
         return load + target.serviceMillis + zoneCostMillis + primaryCostMillis
     }
 
+    private fun learnedCost(choice: ReadChoice, target: Target): Double =
+        choice.expectedMillis(target) + if (target === primary) PRIMARY_COST_MILLIS else 0.0
+
     private fun placement(work: Work): Placement {
         if (work.needsPrimary || work.route.consistency == Consistency.LATEST) return Placement.Primary
         val sinceMillis = work.arrivedAtMillis - work.route.maxStaleMillis + STALE_MARGIN_MILLIS
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.capacity.LearnedCapacity
 import dev.cardamomlane.engine.fleet.GroupRecords
 import dev.cardamomlane.engine.log.DecisionLog
 import dev.cardamomlane.engine.target.Target
@@ -14,6 +15,8 @@
  * The targets of one group, as the newest list names them, and which of them is primary.
  *
  * Not safe for use by several threads.
+ *
+ * @param learnedZone this host's availability zone if the capacity of targets is learned, else null
  */
 internal class TargetRoster(
     private val group: DatabaseId,
@@ -22,6 +25,7 @@
     private val records: GroupRecords,
     private val log: DecisionLog,
     private val listener: TargetListener,
+    private val learnedZone: String? = null,
 ) {
     private val targetsById = LinkedHashMap<TargetId, Target>()
 
@@ -77,10 +81,28 @@
 
     private fun add(entry: TargetEntry) {
         targetsById.remove(entry.id)?.closeAll()
-        targetsById[entry.id] = Target(entry, timers, dialer, log, listener)
+        targetsById[entry.id] = newTarget(entry)
         log.event("group", "target_listed", "group", group.value, "target", entry.id.value, "address", entry.address)
     }
 
+    private fun newTarget(entry: TargetEntry): Target {
+        val zone = learnedZone ?: return Target(entry, timers, dialer, log, listener)
+        val capacity = LearnedCapacity(
+            slots = maxOf(1, entry.slotCount),
+            zone = zone,
+            listener = CapacityLog(entry.id, group, log),
+            othersFailureRate = { failureRateExcept(entry.id) },
+        )
+        return Target(entry, timers, dialer, log, listener, capacity)
+    }
+
+    /** The rate of failures of all targets but [id]; 0 while they have answered nothing recently. */
+    private fun failureRateExcept(id: TargetId): Double {
+        val others = targets.filter { it.entry.id != id }.mapNotNull { it.capacity as? LearnedCapacity }
+        val answeredCount = others.sumOf { it.answeredCount }
+        return if (answeredCount < 1) 0.0 else others.sumOf { it.failedCount } / answeredCount
+    }
+
     /** Drops the targets that have been missing from the list for long, but never the recorded primary. */
     fun dropGone(nowMillis: Long) {
         val iterator = targetsById.values.iterator()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/Work.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/Work.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.capacity.WorkKind
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.fleet.GroupRecords
 import dev.cardamomlane.engine.session.SessionState
@@ -30,6 +31,8 @@
     public val queuedAtMillis: Long,
     private val runner: WorkRunner,
 ) {
+    internal val kind = WorkKind(route.name, isWrite = needsPrimary)
+
     /** Until when each target is left out, after an attempt on it failed or went without an answer for long. */
     internal val avoidedUntilMillis = HashMap<TargetId, Long>(2)
     internal var attemptCount = 0
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.capacity.WorkKind
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.InFlightWrite
@@ -11,6 +12,7 @@
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.target.PooledConnection
+import dev.cardamomlane.engine.target.StatementEnd
 import dev.cardamomlane.engine.target.Target
 
 /**
@@ -28,6 +30,7 @@
     private val done: (Outcome) -> Unit,
 ) : WorkRunner,
     RunningStatement {
+    private val kind = WorkKind(route.name, isWrite = statement.access == Access.WRITE)
     private val attempts = ArrayList<Attempt>(1)
     private var work: Work? = null
     private var isFinished = false
@@ -67,7 +70,7 @@
 
     private fun onTimeout() {
         if (isFinished) return
-        for (attempt in attempts.toList()) attempt.discard()
+        for (attempt in attempts.toList()) attempt.discard(StatementEnd.Lost)
         finish(
             when {
                 !wasAnySent -> Outcome.error(ErrorCode.BUSY, "no target was free in time")
@@ -93,7 +96,7 @@
             private set
 
         fun start() {
-            target.started()
+            target.started(kind)
             connection.prepareFor(work!!.state) { isPrepared -> if (isPrepared) send() else onConnectionLost() }
         }
 
@@ -112,6 +115,7 @@
             services.timers.after(delayMillis) {
                 if (!isComplete && !isFinished && !isHedged) {
                     isHedged = true
+                    onOverdue()
                     work!!.avoid(target, services.timers.nowMillis() + route.timeoutMillis)
                     services.log.request(
                         statement.id,
@@ -126,12 +130,23 @@
             }
         }
 
+        /** Counts the answer as missing, and closes the connection if it is still missing when it is of no use. */
+        private fun onOverdue() {
+            if (!services.features.learnsCapacity) return
+            target.failed()
+            services.timers.after(route.timeoutMillis) { discard() }
+        }
+
+        private fun isServed(answer: TargetAnswer): Boolean = answer.error?.code != ErrorCode.FAILED
+
         private fun onAnswer(answer: TargetAnswer?) {
             if (isComplete) return
             if (answer == null) return onConnectionLost()
             val code = answer.error?.code
             if (code != null && code.isNotRun && code != ErrorCode.MALFORMED) return onNotRun(code, answer)
-            complete(services.timers.nowMillis() - startedAtMillis)
+            complete(
+                StatementEnd.Answered((services.timers.nowMillis() - startedAtMillis).toDouble(), isServed(answer)),
+            )
             connection.releaseOrClose(answer)
             if (statement.access == Access.WRITE && answer.isSuccess) {
                 Acknowledgement(services, group, target, answer, ::finish).start()
@@ -143,7 +158,7 @@
         private fun onNotRun(code: ErrorCode, answer: TargetAnswer) {
             services.log.request(statement.id, "not_run", "target", target.entry.id.value, "code", code)
             if (code == ErrorCode.BUSY) target.backOff(BUSY_AVOID_MILLIS)
-            complete(null)
+            complete(if (code == ErrorCode.BUSY) StatementEnd.Refused else StatementEnd.Unmeasured)
             if (code == ErrorCode.UNKNOWN_STATEMENT) connection.close() else connection.releaseOrClose(answer)
             work!!.avoid(target, services.timers.nowMillis() + avoidMillis(code))
             retry()
@@ -156,7 +171,7 @@
         }
 
         private fun retryElsewhere(avoidMillis: Long) {
-            complete(null)
+            complete(StatementEnd.Unmeasured)
             connection.release()
             work!!.avoid(target, services.timers.nowMillis() + avoidMillis)
             retry()
@@ -164,7 +179,7 @@
 
         private fun onConnectionLost() {
             if (isComplete) return
-            complete(null)
+            complete(StatementEnd.Lost)
             connection.close()
             if (isSent && statement.access == Access.WRITE) {
                 finish(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the target's answer was lost"))
@@ -178,17 +193,17 @@
             finish(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the primary is being replaced"))
         }
 
-        fun discard() {
+        fun discard(end: StatementEnd = StatementEnd.Unmeasured) {
             if (isComplete) return
-            complete(null)
+            complete(if (isSent) end else StatementEnd.Unmeasured)
             connection.close()
         }
 
-        private fun complete(tookMillis: Long?) {
+        private fun complete(end: StatementEnd) {
             isComplete = true
             attempts.remove(this)
             group.writes.resolved(this)
-            target.finished(tookMillis?.toDouble())
+            target.finished(kind, end)
         }
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.capacity.WorkKind
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.InFlightWrite
@@ -13,6 +14,7 @@
 import dev.cardamomlane.engine.statement.TargetStatement
 import dev.cardamomlane.engine.statement.TransactionState
 import dev.cardamomlane.engine.target.PooledConnection
+import dev.cardamomlane.engine.target.StatementEnd
 import dev.cardamomlane.engine.target.Target
 
 /**
@@ -91,7 +93,7 @@
     override fun run(work: Work, target: Target, connection: PooledConnection, after: LogPosition?) {
         val step = currentStep
         if (isFinished || step == null) return connection.release()
-        target.started()
+        target.started(BEGIN)
         connection.prepareFor(work.state) { isPrepared ->
             when {
                 isFinished || !isPrepared -> onStartFailed(target, connection, work)
@@ -102,12 +104,12 @@
 
     private fun sendBegin(work: Work, target: Target, connection: PooledConnection, after: LogPosition?, step: Step) {
         if (after == null && !group.isPrimaryUsable()) {
-            target.finished(null)
+            target.finished(BEGIN, StatementEnd.Unmeasured)
             connection.release()
             return group.resubmit(work)
         }
         connection.execute(TargetStatement.Begin(isReadOnly, after)) { answer ->
-            target.finished(null)
+            target.finished(BEGIN, endOf(answer, tookMillis = null))
             when {
                 answer == null -> onStartFailed(target, connection, work, isCounted = false)
                 !answer.isSuccess -> onBeginRefused(work, target, connection, answer)
@@ -124,12 +126,20 @@
         }
     }
 
+    /** [tookMillis] is null for a statement that is not measured. */
+    private fun endOf(answer: TargetAnswer?, tookMillis: Double?): StatementEnd = when {
+        answer == null -> if (isFinished) StatementEnd.Unmeasured else StatementEnd.Lost
+        answer.error?.code == ErrorCode.BUSY && tookMillis == null -> StatementEnd.Refused
+        tookMillis == null -> StatementEnd.Unmeasured
+        else -> StatementEnd.Answered(tookMillis, isSuccess = answer.error?.code !in TARGET_FAILURES)
+    }
+
     private fun rollback(connection: PooledConnection) {
         connection.execute(TargetStatement.Rollback) { answer -> connection.releaseOrClose(answer) }
     }
 
     private fun onStartFailed(target: Target, connection: PooledConnection, work: Work, isCounted: Boolean = true) {
-        if (isCounted) target.finished(null)
+        if (isCounted) target.finished(BEGIN, StatementEnd.Lost)
         connection.close()
         if (!isFinished) group.resubmit(work)
     }
@@ -153,8 +163,12 @@
         val containsWrite = !isReadOnly && (hasWritten || step.statement?.access == Access.WRITE)
         if (containsWrite && !group.writes.mayCommit(target)) return abort("the primary is being replaced")
         val sentAtMillis = services.timers.nowMillis()
-        target.started()
         val statement = step.statement
+        val kind = when {
+            statement == null -> if (hasWritten) COMMIT else END
+            else -> WorkKind(route.name, isWrite = statement.access == Access.WRITE)
+        }
+        target.started(kind)
         if (statement == null) {
             isCommitSent = true
             if (hasWritten) group.writes.sent(this)
@@ -162,7 +176,7 @@
             hasWritten = true
         }
         connection.execute(statement?.toTarget(after = null) ?: TargetStatement.Commit(step.id)) { answer ->
-            target.finished(answer?.let { (services.timers.nowMillis() - sentAtMillis).toDouble() })
+            target.finished(kind, endOf(answer, tookMillis = (services.timers.nowMillis() - sentAtMillis).toDouble()))
             if (statement == null) group.writes.resolved(this)
             onAnswer(step, answer)
         }
@@ -256,5 +270,13 @@
     private companion object {
         /** How long a target is left out after it refused to begin the transaction. */
         const val BEGIN_REFUSED_AVOID_MILLIS = 30L
+
+        /** The kinds of the statements that belong to no route. The end of a transaction without writes is quick. */
+        val BEGIN = WorkKind("BEGIN", isWrite = false)
+        val COMMIT = WorkKind("COMMIT", isWrite = true)
+        val END = WorkKind("COMMIT", isWrite = false)
+
+        /** Errors that the target may have caused. */
+        val TARGET_FAILURES = setOf(ErrorCode.FAILED, ErrorCode.BUSY)
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -2,7 +2,10 @@
 
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerService
-import dev.cardamomlane.core.queue.AdaptiveLimit
+import dev.cardamomlane.core.capacity.FixedCapacity
+import dev.cardamomlane.core.capacity.LearnedCapacity
+import dev.cardamomlane.core.capacity.TargetCapacity
+import dev.cardamomlane.core.capacity.WorkKind
 import dev.cardamomlane.engine.fleet.GroupRecords
 import dev.cardamomlane.engine.log.DecisionLog
 import dev.cardamomlane.engine.session.SessionState
@@ -23,6 +26,7 @@
     private val dialer: TargetDialer,
     private val log: DecisionLog,
     private val listener: TargetListener,
+    internal val capacity: TargetCapacity = FixedCapacity(slots = maxOf(1, entry.slotCount)),
 ) {
     /** The target's entry in the newest list of targets. */
     public var entry: TargetEntry = entry
@@ -35,13 +39,11 @@
     internal var connectionShare = DEFAULT_CONNECTION_SHARE
 
     private val connections = ArrayList<PooledConnection>()
-    private val slotLimit = AdaptiveLimit(slots = maxOf(1, entry.slotCount))
     internal var runningCount = 0
         private set
 
     /** The moving average of the time that answers took, in milliseconds. */
-    internal var serviceMillis = INITIAL_SERVICE_MILLIS
-        private set
+    internal val serviceMillis: Double get() = capacity.serviceMillis
 
     /** The position that the target last reported, and when it did. */
     internal var appliedPosition: LogPosition? = null
@@ -69,7 +71,7 @@
     private var probe: PooledConnection? = null
 
     /** The number of statements that this host may run at the target at once. */
-    internal val slotCount: Int get() = slotLimit.limit
+    internal val slotCount: Int get() = capacity.limit
 
     /** The number of connections that are open or being opened. */
     internal val connectionCount: Int get() = connections.size
@@ -79,7 +81,7 @@
         !entry.isDraining && goneAtMillis == null && unreachableSinceMillis == null && nowMillis >= backOffUntilMillis
 
     /** True when another statement may start now. */
-    internal fun hasSlot(): Boolean = runningCount < slotLimit.limit
+    internal fun hasSlot(): Boolean = capacity.hasRoom
 
     /** The idle connection of [customerName] that needs the least setup for [state], or null when none is idle. */
     internal fun idle(customerName: String, state: SessionState): PooledConnection? = connections
@@ -118,17 +120,27 @@
         connection.isTaken = true
     }
 
-    /** Counts one more running statement; [finished] must follow. */
-    internal fun started() {
+    /** Counts one more running statement of [kind]; [finished] must follow. */
+    internal fun started(kind: WorkKind) {
         runningCount++
+        capacity.started(kind, timers.nowMillis())
     }
 
-    /** Counts one running statement less. [tookMillis] is how long its answer took, or null to measure nothing. */
-    internal fun finished(tookMillis: Double?) {
+    /** Counts one running statement less, which ended as [end] says. */
+    internal fun finished(kind: WorkKind, end: StatementEnd) {
         runningCount--
-        if (tookMillis == null) return
-        serviceMillis += (tookMillis - serviceMillis) * SERVICE_SMOOTHING
-        slotLimit.observe(tookMillis, runningCount + 1)
+        val nowMillis = timers.nowMillis()
+        when (end) {
+            is StatementEnd.Answered -> capacity.answered(kind, end.tookMillis, end.isSuccess, nowMillis)
+            StatementEnd.Refused -> capacity.refused(kind, nowMillis)
+            StatementEnd.Lost -> capacity.lost(kind, nowMillis)
+            StatementEnd.Unmeasured -> capacity.released(kind, nowMillis)
+        }
+    }
+
+    /** Counts a failure of the target that ends no statement; without effect unless its capacity is learned. */
+    internal fun failed() {
+        (capacity as? LearnedCapacity)?.failed(timers.nowMillis())
     }
 
     /** Sends the target no new statements for [millis]. */
@@ -245,6 +257,7 @@
         val nowMillis = timers.nowMillis()
         if (!wasOpen) {
             isRefusingConnections = nowMillis - connection.dialedAtMillis < QUICK_REFUSAL_MILLIS
+            failed()
             noDialUntilMillis = maxOf(noDialUntilMillis, nowMillis + REFUSED_DIAL_PAUSE_MILLIS)
             if (nowMillis - lastAnswerAtMillis > QUICK_REFUSAL_MILLIS) suspect("connection could not be opened")
             failPendingControlStatements()
@@ -265,6 +278,7 @@
      */
     internal fun tick(probeCustomer: String?) {
         val nowMillis = timers.nowMillis()
+        (capacity as? LearnedCapacity)?.tick(nowMillis)
         val timeoutMillis = maxOf(MIN_ANSWER_TIMEOUT_MILLIS, (serviceMillis * ANSWER_TIMEOUT_FACTOR).toLong())
         val oldest = connections.mapNotNull { it.oldestSentMillis ?: pendingDialMillis(it) }.minOrNull()
         if (oldest != null && nowMillis - oldest > timeoutMillis && lastAnswerAtMillis < oldest) suspect("no answer")
@@ -311,12 +325,6 @@
         /** How many connections beyond the share may be opened for control statements. */
         const val CONTROL_CONNECTIONS = 1
 
-        /** The assumed mean service time of a target that has not answered yet. */
-        const val INITIAL_SERVICE_MILLIS = 25.0
-
-        /** The weight of the newest answer in the mean service time. */
-        const val SERVICE_SMOOTHING = 0.1
-
         /** A target is suspected after this time, or this multiple of its mean service time, without an answer. */
         const val MIN_ANSWER_TIMEOUT_MILLIS = 350L
         const val ANSWER_TIMEOUT_FACTOR = 6.0
