--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -136,6 +136,7 @@
         val nowMillis = timers.nowMillis()
         val groups = delegate.groupStatuses(nowMillis)
         val demand = delegate.demand(nowMillis)
+        val capacities = delegate.capacityReports()
         if (!isRegistered) return
         val heardMembers = heardMembers(nowMillis)
         heartbeatAtMillis = nowMillis
@@ -155,7 +156,8 @@
                 groups = groups,
                 demand = demand,
             )
-            network.send(peer.member.address, peer.encoder.encode(self.name, self.incarnation, message))
+            val datagram = peer.encoder.encode(self.name, self.incarnation, message)
+            network.send(peer.member.address, datagram.copy(capacities = capacities))
         }
     }
 
@@ -186,6 +188,17 @@
         message.query?.let(::answer)
         message.list?.let { directory.onList(message.from, it) }
         if (message.heartbeat != null || message.compressed != null) onHeartbeat(message)
+        message.capacities?.let { onCapacities(message, it) }
+    }
+
+    /** Reports count only with the heartbeat that they came with, if that is the peer's newest. */
+    private fun onCapacities(message: PeerMessage, reports: List<CapacityReport>) {
+        val peer = peersByName[message.from] ?: return
+        val sentAtMillis = message.heartbeat?.sentAtMillis ?: message.compressed?.sentAtMillis
+        val isNewest = sentAtMillis == peer.lastHeartbeat?.sentAtMillis
+        if (isNewest && peer.member.incarnation == message.incarnation) {
+            delegate.onCapacityReports(peer, reports, timers.nowMillis())
+        }
     }
 
     private fun answer(query: MemberQuery) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -10,6 +10,7 @@
  *
  * @property compressed a heartbeat for a host that reads this form; earlier builds ignore it
  * @property readsCompressed true when the sender reads compressed heartbeats; one that sends them does in any case
+ * @property capacities what the sender of a heartbeat measured at the targets; hosts of earlier builds ignore it
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -21,4 +22,5 @@
     @CborLabel(5) val list: MemberList? = null,
     @CborLabel(6) val compressed: CompressedHeartbeat? = null,
     @CborLabel(7) val readsCompressed: Boolean = false,
+    @CborLabel(8) val capacities: List<CapacityReport>? = null,
 )
