Operators drain an availability zone; targets that warm up get work slowly

Cause: a request of operators to drain a zone had no effect, and a target that warmed up got its whole load at once.

A host sends nothing before it knows the drains, nor without current proof. Starts at a target that warms up are spaced by this member's share of the rate. The whole suite of engine and platform was not run for this commit.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -6,6 +6,7 @@
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.config.Configuration
 import dev.cardamomlane.engine.config.Features
+import dev.cardamomlane.engine.config.GroupPolicy
 import dev.cardamomlane.engine.fleet.ControlStore
 import dev.cardamomlane.engine.fleet.CustomerDemand
 import dev.cardamomlane.engine.fleet.Fleet
@@ -36,12 +37,18 @@
 import dev.cardamomlane.engine.target.TargetDialer
 import dev.cardamomlane.engine.target.TargetEntry
 import dev.cardamomlane.engine.target.TargetList
+import dev.cardamomlane.engine.zone.KnownDrains
+import dev.cardamomlane.engine.zone.WarmUpShare
+import dev.cardamomlane.engine.zone.ZoneDrains
+import dev.cardamomlane.engine.zone.ZoneRules
 
 /**
  * One host of the proxy: its sessions, its database groups and its membership in the fleet.
  *
  * Not safe for use by several threads: every call must come from one event loop. Nothing here blocks, reads a clock or
  * opens a socket; time, network and storage come from the constructor's arguments.
+ *
+ * @param drainBoundMillis how soon after an operator's request the targets of a draining zone get no more statements
  */
 public class ProxyHost(
     private val self: Member,
@@ -49,17 +56,18 @@
     override val timers: TimerService,
     private val dialer: TargetDialer,
     store: ControlStore,
-    network: PeerNetwork,
+    private val network: PeerNetwork,
     hostDialer: HostDialer,
     private val promotion: PromotionCall,
     override val log: DecisionLog,
     private val meter: RequestMeter,
     override val features: Features = Features.NONE,
+    private val drainBoundMillis: Long = 5_000,
 ) : SessionServices,
     HeartbeatDelegate {
     private val groupRecords = GroupRecords()
     private val groups = LinkedHashMap<DatabaseId, DatabaseGroup>()
-    private val fleet = Fleet(self, zones, { groups.values }, timers, store, network, groupRecords, log, this)
+    private val fleet = Fleet(self, zones, { groups.values }, timers, store, ::send, groupRecords, log, this)
     private val forwarded = ForwardedOperations(this, timers) { fleet.isRegistered && !isClosing() }
     private val limits = CustomerLimits(fleet, groupRecords, timers)
     private val cutOff = CutOffWatch(fleet, groupRecords, timers, log)
@@ -70,6 +78,11 @@
         updateGroups()
         openWaitingSessions()
     }
+    private val knownDrains = KnownDrains(features.drainsZones, log, ::zonesOfTargets) {
+        updateGroups()
+        fleet.heartbeat()
+        openWaitingSessions()
+    }
     private var memberNames: Set<String> = emptySet()
     private var hasSeat = false
     private var isFetchScheduled = false
@@ -137,7 +150,10 @@
 
     /** Joins the fleet and starts the periodic work. To be called once. */
     public fun start() {
-        log.event("host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation, "features", features)
+        log.event(
+            "host", "started", "host", self.name, "zone", self.zone, "incarnation", self.incarnation,
+            "features", features,
+        )
         fleet.refresh()
         timers.every(Fleet.HEARTBEAT_MILLIS) { onHeartbeat() }
         timers.every(TICK_INTERVAL_MILLIS) { onTick() }
@@ -145,6 +161,7 @@
 
     /** Handles a datagram of another host. */
     public fun onPeerMessage(message: PeerMessage) {
+        message.drains?.let { knownDrains.learn(it, message.from) }
         fleet.onMessage(message)
     }
 
@@ -164,6 +181,27 @@
     /** Takes over the platform's list of targets as of [position] of the store, unless a newer one is known. */
     public fun updateTargets(list: List<TargetEntry>, position: StorePosition): Unit = targetList.update(list, position)
 
+    /** The newest drains of zones that this host knows; always [ZoneDrains.UNKNOWN] while the feature is off. */
+    public val drains: ZoneDrains get() = knownDrains.newest
+
+    /** Takes over the operators' requests to drain zones, as read from the store, unless newer ones are known. */
+    public fun updateDrains(drains: ZoneDrains): Unit = knownDrains.update(drains)
+
+    /** Takes over the requests to drain zones that the host [from] knows, if they are newer. */
+    public fun learnDrains(drains: ZoneDrains, from: String): Unit = knownDrains.learn(drains, from)
+
+    /** The number of targets that warm up now. */
+    public fun warmingTargetCount(): Int =
+        groups.values.sumOf { group -> group.targets.count { it.zoneGate.isWarmingUp(timers.nowMillis()) } }
+
+    private fun zonesOfTargets(): Set<String> = targetList.entries.mapTo(HashSet()) { it.zone }
+
+    /** Each datagram carries the drains, so that hosts which the store does not inform learn of them in time. */
+    private fun send(address: String, message: PeerMessage) {
+        val known = drains.takeIf { features.drainsZones && knownDrains.isKnown }
+        network.send(address, if (known == null) message else message.copy(drains = known))
+    }
+
     private fun isClosing(): Boolean = stop.isClosing
 
     override fun group(id: DatabaseId): DatabaseGroup? = groups[id]
@@ -218,7 +256,7 @@
     override val isReady: Boolean
         get() {
             val nowMillis = timers.nowMillis()
-            if (stop.isStopping || configuration.version < 0) return false
+            if (stop.isStopping || configuration.version < 0 || !knownDrains.isKnown) return false
             if (!fleet.isRegistered) return fleet.directory.usable(nowMillis).isNotEmpty()
             return groups.values.any { it.targets.isNotEmpty() } && groupRecords.isCurrent(nowMillis)
         }
@@ -274,17 +312,29 @@
     }
 
     private fun updateGroups() {
-        if (!hasSeat) return
+        if (!hasSeat || !knownDrains.isKnown) return
         val byGroup = targetList.entries.groupBy { it.group }
         val known = byGroup.keys + configuration.groups.keys + groups.keys
         for (id in known) {
             val policy = configuration.groups[id]
             val group = groups.getOrPut(id) { newGroup(id) }
             group.controlCustomer = configuration.customersByKey.values.firstOrNull()?.id?.value
-            group.update(byGroup[id] ?: emptyList(), connectionShare(policy?.maxConnections))
+            group.update(byGroup[id] ?: emptyList(), connectionShare(policy?.maxConnections), zoneRules(policy))
         }
     }
 
+    private fun zoneRules(policy: GroupPolicy?): ZoneRules {
+        if (!features.drainsZones) return ZoneRules.OFF
+        val perSecond = policy?.warmUpPerSecond?.takeIf { it > 0 }
+        return ZoneRules(
+            isOn = true,
+            drainingZones = knownDrains.zones,
+            graceMillis = maxOf(0, drainBoundMillis - DRAIN_NOTICE_MILLIS),
+            warmUpMillis = policy?.warmUpMillis ?: 0,
+            warmUpPerSecond = perSecond?.let { WarmUpShare.of(it, memberNames, self.name) },
+        )
+    }
+
     private fun connectionShare(maxConnections: Int?): Int {
         if (maxConnections == null) return MIN_CONNECTIONS
         return maxOf(MIN_CONNECTIONS, (maxConnections - SPARE_CONNECTIONS) / maxOf(1, memberNames.size))
@@ -324,6 +374,12 @@
         /** How many members look out for a new configuration at short intervals. */
         private const val CLOSE_WATCHERS = 3
 
+        /**
+         * How long after the store has acknowledged a drain a host may learn of it: 3 s, in which a lost feed call is
+         * noticed, and half a second for the way from host to host and the next tick.
+         */
+        private const val DRAIN_NOTICE_MILLIS = 3_500L
+
         private const val TICK_INTERVAL_MILLIS = 40L
 
         /** The least number of connections that a host may open to each target. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ReplacementTrigger.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ReplacementTrigger.kt
@@ -28,7 +28,8 @@
         val primary = group.primary ?: return unlistedReason(nowMillis)
         unlistedSinceMillis = null
         if (group.targets.none { it !== primary && isEligible(it) }) return null
-        return drainingReason(primary, nowMillis, mayPlan) ?: unreachableReason(primary, nowMillis)
+        return drainingReason(primary, nowMillis, mayPlan) ?: zoneReason(primary, nowMillis, mayPlan)
+            ?: unreachableReason(primary, nowMillis)
             ?: outOfReachReason(primary, nowMillis, mayPlan) ?: lostRoleReason(primary)
     }
 
@@ -59,6 +60,16 @@
         )
     }
 
+    private fun zoneReason(primary: Target, nowMillis: Long, mayPlan: Boolean): ReplacementReason? {
+        if (!mayPlan || !primary.zoneGate.isDraining || primary.unreachableSinceMillis != null) return null
+        return ReplacementReason(
+            "primary is in a draining zone",
+            isPlanned = true,
+            sinceMillis = nowMillis,
+            minDurationMillis = 0,
+        )
+    }
+
     private fun unreachableReason(primary: Target, nowMillis: Long): ReplacementReason? {
         val ownSince = primary.unreachableSinceMillis ?: primary.goneAtMillis
         val isReachedElsewhere = fleet.alivePeers(nowMillis).any { peer ->
@@ -99,9 +110,8 @@
     fun unreachableCount(target: Target, nowMillis: Long): Int =
         fleet.alivePeers(nowMillis).count { target.entry.id.value in unreachableTargets(it) }
 
-    /** True when [target] may become primary: it is listed, not draining, and this host reaches it. */
-    fun isEligible(target: Target): Boolean =
-        target.goneAtMillis == null && !target.entry.isDraining && target.unreachableSinceMillis == null
+    /** True when [target] may become primary: it is listed, neither it nor its zone is draining, and this host reaches it. */
+    fun isEligible(target: Target): Boolean = target.isEligible
 
     private fun unreachableTargets(peer: Peer): List<String> =
         peer.groupStatus(group.id.value)?.unreachable ?: emptyList()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -202,7 +202,8 @@
     /** Ends the takeover by publishing the old primary, which was never replaced. */
     private fun giveUp(record: GroupRecord, old: Target, reason: String) {
         log.event("takeover", "given_up", "group", group.id.value, "reason", reason)
-        plannedNotBeforeMillis = timers.nowMillis() + GIVEN_UP_PAUSE_MILLIS
+        val pauseMillis = if (old.zoneGate.isDraining) ZONE_GIVEN_UP_PAUSE_MILLIS else GIVEN_UP_PAUSE_MILLIS
+        plannedNotBeforeMillis = timers.nowMillis() + pauseMillis
         phase = TakeoverPhase.Publishing(record, old.entry.id, record.term)
     }
 
@@ -344,5 +345,8 @@
 
         /** After a takeover was given up a primary that still answers is not replaced for this time. */
         const val GIVEN_UP_PAUSE_MILLIS = 4_000L
+
+        /** [GIVEN_UP_PAUSE_MILLIS] for a primary in a draining zone, which runs nothing that a new attempt would stop. */
+        const val ZONE_GIVEN_UP_PAUSE_MILLIS = 500L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -12,6 +12,7 @@
 import dev.cardamomlane.engine.target.TargetDialer
 import dev.cardamomlane.engine.target.TargetEntry
 import dev.cardamomlane.engine.target.TargetListener
+import dev.cardamomlane.engine.zone.ZoneRules
 
 /**
  * One group of databases that replicate from one primary: its targets and their roles, the recent log positions of its
@@ -34,6 +35,7 @@
     private val positions = PrimaryPositions()
     private var probedAtMillis = GroupRecords.NEVER
     private var isStartingQueued = false
+    private var rules = ZoneRules.OFF
 
     private var recordChangedAtMillis = GroupRecords.NEVER
 
@@ -74,9 +76,11 @@
      * Replaces the list of targets by [entries]. A target that is missing gets no new work, and is dropped later.
      *
      * @param connectionShare the most connections that this host opens to each target
+     * @param rules what drains of zones and the warm-up of targets ask for
      */
-    public fun update(entries: Collection<TargetEntry>, connectionShare: Int) {
-        roster.update(entries, connectionShare)
+    public fun update(entries: Collection<TargetEntry>, connectionShare: Int, rules: ZoneRules = ZoneRules.OFF) {
+        this.rules = rules
+        roster.update(entries, connectionShare, rules)
         startQueued()
     }
 
@@ -97,6 +101,7 @@
     }
 
     private fun refuseIfTooLate(work: Work) {
+        if (isDrained()) return refuseQueued(work, DRAINED_REASON)
         if (work.needsPrimary && !isPrimaryUsable() && !isPrimaryExpected()) {
             return refuseQueued(work, "no primary is in reach", ErrorCode.UNAVAILABLE)
         }
@@ -131,12 +136,36 @@
     public fun isRecordStable(nowMillis: Long): Boolean =
         records.isCurrent(nowMillis) && records.record(id)?.isChanging != true
 
+    /** True when every target that could serve is in a draining zone. */
+    private fun isDrained(): Boolean {
+        val serving = roster.targets.filter { it.goneAtMillis == null && !it.entry.isDraining }
+        return serving.isNotEmpty() && serving.all { it.zoneGate.isDraining }
+    }
+
+    /**
+     * True when statements may be sent to targets as far as drains are concerned: proof shows that this host was in
+     * contact with the others lately, and so knows of every drain whose bound may be over.
+     */
+    private fun knowsDrains(nowMillis: Long): Boolean = !rules.isOn || records.isCurrent(nowMillis)
+
+    /** True when a transaction that is open at [target] may be sent its next statement. */
+    internal fun mayContinue(target: Target): Boolean {
+        val nowMillis = timers.nowMillis()
+        return !target.zoneGate.isPastGrace(nowMillis) && knowsDrains(nowMillis)
+    }
+
+    /** True when an operation that got a connection to [target] may still be started there. */
+    internal fun mayStart(target: Target): Boolean = !target.zoneGate.isDraining && knowsDrains(timers.nowMillis())
+
     /** True when a primary is likely to be usable soon, as the takeover or the loss of contact has just begun. */
     private fun isPrimaryExpected(): Boolean {
         val nowMillis = timers.nowMillis()
         val record = records.record(id)
         if (record != null && record.isChanging) return nowMillis - recordChangedAtMillis < TAKEOVER_WAIT_MILLIS
         val target = primary ?: return false
+        target.zoneGate.drainingSinceMillis?.let { since ->
+            return nowMillis - since < TAKEOVER_WAIT_MILLIS && roster.targets.any { it.isEligible }
+        }
         val since = target.unreachableSinceMillis ?: target.goneAtMillis ?: return true
         return nowMillis - since < PRIMARY_RETURN_WAIT_MILLIS
     }
@@ -189,7 +218,7 @@
         is Placement.Primary ->
             if (isPrimaryUsable()) listOfNotNull(primary).filter { !work.avoids(it, nowMillis) } else emptyList()
         is Placement.AnyAtPosition -> roster.targets.filter { target ->
-            target.takesWork(nowMillis) && !work.avoids(target, nowMillis) &&
+            knowsDrains(nowMillis) && target.takesWork(nowMillis) && !work.avoids(target, nowMillis) &&
                 !isKnownBehind(target, placement.position, nowMillis)
         }
     }
@@ -264,11 +293,13 @@
         for (target in roster.targets.toList()) target.tick(controlCustomer)
         roster.dropGone(nowMillis)
         probePosition(nowMillis)
+        val isDrained = isDrained()
         for (work in queue.inOrder()) {
             val waitedMillis = nowMillis - work.queuedAtMillis
             val lacksPrimary = work.needsPrimary && !isPrimaryUsable() && !isPrimaryExpected()
             when {
                 work.isOver -> queue.remove(work)
+                isDrained -> refuseQueued(work, DRAINED_REASON)
                 waitedMillis > longestWaitMillis(work) -> refuseQueued(work, "waited too long")
                 lacksPrimary -> refuseQueued(work, "no primary is in reach", ErrorCode.UNAVAILABLE)
             }
@@ -297,6 +328,7 @@
 
     private companion object {
         const val MAX_ATTEMPTS = 8
+        const val DRAINED_REASON = "every target is in a draining zone, not run"
 
         /** A statement is refused at once if its expected wait exceeds this fraction of its timeout. */
         const val EXPECTED_WAIT_FRACTION = 0.5
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
@@ -9,6 +9,7 @@
 import dev.cardamomlane.engine.target.TargetDialer
 import dev.cardamomlane.engine.target.TargetEntry
 import dev.cardamomlane.engine.target.TargetListener
+import dev.cardamomlane.engine.zone.ZoneRules
 
 /**
  * The targets of one group, as the newest list names them, and which of them is primary.
@@ -44,7 +45,7 @@
      *
      * @param connectionShare the most connections that this host opens to each target
      */
-    fun update(entries: Collection<TargetEntry>, connectionShare: Int) {
+    fun update(entries: Collection<TargetEntry>, connectionShare: Int, rules: ZoneRules) {
         val nowMillis = timers.nowMillis()
         for (entry in entries) {
             val known = targetsById[entry.id]
@@ -55,6 +56,7 @@
         val listed = entries.mapTo(HashSet()) { it.id }
         for (target in targets) {
             target.connectionShare = connectionShare
+            applyRules(target, rules)
             if (target.entry.id !in listed && target.goneAtMillis == null) {
                 target.goneAtMillis = nowMillis
                 log.event("group", "target_gone", "group", group.value, "target", target.entry.id.value)
@@ -63,6 +65,12 @@
         dropGone(nowMillis)
     }
 
+    private fun applyRules(target: Target, rules: ZoneRules) {
+        if (!target.zoneGate.apply(rules, target.entry.zone)) return
+        val event = if (target.zoneGate.isDraining) "target_drains" else "target_returns"
+        log.event("zone", event, "group", group.value, "target", target.entry.id.value, "zone", target.entry.zone)
+    }
+
     private fun refresh(target: Target, entry: TargetEntry) {
         if (target.entry.isDraining != entry.isDraining || target.entry.isPrimary != entry.isPrimary) {
             log.event(
@@ -71,13 +79,16 @@
             )
         }
         if (entry.isPrimary && !target.entry.isPrimary) target.forgetRole()
+        if (entry != target.entry) target.zoneGate.onReport(entry.warmUpMillis)
         target.entry = entry
         target.goneAtMillis = null
     }
 
     private fun add(entry: TargetEntry) {
         targetsById.remove(entry.id)?.closeAll()
-        targetsById[entry.id] = Target(entry, timers, dialer, log, listener)
+        val target = Target(entry, timers, dialer, log, listener)
+        target.zoneGate.onReport(entry.warmUpMillis)
+        targetsById[entry.id] = target
         log.event("group", "target_listed", "group", group.value, "target", entry.id.value, "address", entry.address)
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -100,7 +100,8 @@
         private fun send() {
             if (isComplete) return
             val mustBePrimary = after == null
-            if (mustBePrimary && !group.isPrimaryUsable()) return retryElsewhere(NO_AVOID_MILLIS)
+            val isPrimaryLost = mustBePrimary && !group.isPrimaryUsable()
+            if (isPrimaryLost || !group.mayStart(target)) return retryElsewhere(NO_AVOID_MILLIS)
             isSent = true
             wasAnySent = true
             if (statement.access == Access.WRITE) group.writes.sent(this) else scheduleHedge()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -101,7 +101,8 @@
     }
 
     private fun sendBegin(work: Work, target: Target, connection: PooledConnection, after: LogPosition?, step: Step) {
-        if (after == null && !group.isPrimaryUsable()) {
+        val isPrimaryLost = after == null && !group.isPrimaryUsable()
+        if (isPrimaryLost || !group.mayStart(target)) {
             target.finished(null)
             connection.release()
             return group.resubmit(work)
@@ -142,6 +143,7 @@
     }
 
     private fun prepareAndSend(connection: PooledConnection, step: Step) {
+        if (!group.mayContinue(target)) return abort(DRAINED_REASON)
         connection.prepareFor(step.state) { isPrepared ->
             if (isPrepared) send(connection, step) else onConnectionLost()
         }
@@ -150,6 +152,7 @@
     private fun send(connection: PooledConnection, step: Step) {
         if (isFinished || currentStep !== step) return
         val target = pinnedTarget!!
+        if (!group.mayContinue(target)) return abort(DRAINED_REASON)
         val containsWrite = !isReadOnly && (hasWritten || step.statement?.access == Access.WRITE)
         if (containsWrite && !group.writes.mayCommit(target)) return abort("the primary is being replaced")
         val sentAtMillis = services.timers.nowMillis()
@@ -254,6 +257,8 @@
     )
 
     private companion object {
+        const val DRAINED_REASON = "the target's zone is drained, or this host has lost contact with the others"
+
         /** How long a target is left out after it refused to begin the transaction. */
         const val BEGIN_REFUSED_AVOID_MILLIS = 30L
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -10,6 +10,7 @@
 import dev.cardamomlane.engine.statement.StatementError
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.statement.TargetStatement
+import dev.cardamomlane.engine.zone.ZoneGate
 
 /**
  * One target as this host sees it: a pool of connections to it, whether it can be reached, its mean service time and
@@ -74,12 +75,31 @@
     /** The number of connections that are open or being opened. */
     internal val connectionCount: Int get() = connections.size
 
+    /** Whether drains of its zone and its warm-up let it take work. */
+    internal val zoneGate = ZoneGate(timers)
+    private var isWakeUpScheduled = false
+
+    /** True when it is listed, neither it nor its zone is draining, and this host reaches it. */
+    internal val isEligible: Boolean
+        get() = !entry.isDraining && !zoneGate.isDraining && goneAtMillis == null && unreachableSinceMillis == null
+
     /** True when new statements may be sent to the target. */
-    internal fun takesWork(nowMillis: Long): Boolean =
-        !entry.isDraining && goneAtMillis == null && unreachableSinceMillis == null && nowMillis >= backOffUntilMillis
+    internal fun takesWork(nowMillis: Long): Boolean = isEligible && nowMillis >= backOffUntilMillis
 
     /** True when another statement may start now. */
-    internal fun hasSlot(): Boolean = runningCount < slotLimit.limit
+    internal fun hasSlot(): Boolean = runningCount < slotLimit.limit && !isPausedByWarmUp()
+
+    private fun isPausedByWarmUp(): Boolean {
+        val waitMillis = zoneGate.waitMillis(timers.nowMillis())
+        if (waitMillis > 0 && !isWakeUpScheduled) {
+            isWakeUpScheduled = true
+            timers.after(waitMillis) {
+                isWakeUpScheduled = false
+                listener.onCapacity(this)
+            }
+        }
+        return waitMillis > 0
+    }
 
     /** The idle connection of [customerName] that needs the least setup for [state], or null when none is idle. */
     internal fun idle(customerName: String, state: SessionState): PooledConnection? = connections
@@ -121,6 +141,7 @@
     /** Counts one more running statement; [finished] must follow. */
     internal fun started() {
         runningCount++
+        zoneGate.started(timers.nowMillis())
     }
 
     /** Counts one running statement less. [tookMillis] is how long its answer took, or null to measure nothing. */
@@ -272,6 +293,7 @@
             if (!connection.isOpen && nowMillis - connection.dialedAtMillis > DIAL_TIMEOUT_MILLIS) connection.close()
         }
         closeSurplus(nowMillis)
+        if (zoneGate.isPastGrace(nowMillis)) abortIdleTransactions()
         if (unreachableSinceMillis != null && goneAtMillis == null) startProbe(probeCustomer, nowMillis)
     }
 
@@ -292,6 +314,14 @@
         }
     }
 
+    /** Closes connections between two statements of a transaction, which makes the target roll it back. */
+    private fun abortIdleTransactions() {
+        val idle = connections.filter { it.isOpen && it.isTaken && it.oldestSentMillis == null }
+        if (idle.isEmpty()) return
+        log.event("zone", "transactions_aborted", "target", entry.id.value, "count", idle.size)
+        idle.forEach { it.close() }
+    }
+
     private fun suspect(reason: String) {
         if (unreachableSinceMillis != null) return
         unreachableSinceMillis = timers.nowMillis()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetEntry.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetEntry.kt
@@ -12,6 +12,7 @@
  * @property isPrimary the role that the target last reported
  * @property startedAtUnixMillis Unix time of the target's start, or 0 when unknown
  * @property sequence the target's own count of its reports since its start
+ * @property warmUpMillis how much longer the target warms up, as of this report; 0 when it does not
  */
 public data class TargetEntry(
     val id: TargetId,
@@ -23,6 +24,7 @@
     val isPrimary: Boolean,
     val startedAtUnixMillis: Long,
     val sequence: Long,
+    val warmUpMillis: Long = 0,
 ) {
     /** True when the target wrote this entry after [other], an entry of the same target. */
     public fun isNewerThan(other: TargetEntry): Boolean =
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -7,6 +7,7 @@
 import dev.cardamomlane.engine.config.Configuration
 import dev.cardamomlane.engine.config.Consistency
 import dev.cardamomlane.engine.config.Customer
+import dev.cardamomlane.engine.config.Features
 import dev.cardamomlane.engine.config.GroupPolicy
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.fleet.Member
@@ -17,12 +18,16 @@
 import dev.cardamomlane.engine.session.CallerSession
 import dev.cardamomlane.engine.statement.CallerAnswer
 import dev.cardamomlane.engine.statement.Statement
+import dev.cardamomlane.engine.target.TargetEntry
+import dev.cardamomlane.engine.zone.ZoneDrains
 import kotlinx.collections.immutable.toImmutableMap
 import reactor.core.publisher.Mono
 
 /**
  * Hosts with fake targets and a fake store, in simulated time.
  *
+ * @param entries the list of targets that each host starts with
+ * @param drains what each host reads from the store at its start, or null when it can't
  * @param settleMillis how long the hosts run before the constructor returns
  */
 class HostFixture(
@@ -30,6 +35,12 @@
     settleMillis: Long = 1_000,
     private val isConfigured: Boolean = true,
     private val isReplicatedBeforeAcknowledged: Boolean = false,
+    private val features: Features = Features.NONE,
+    private val entries: List<TargetEntry> =
+        listOf(targetEntry("p", isPrimary = true), targetEntry("r1"), targetEntry("r2")),
+    private val drains: ZoneDrains? = null,
+    private val warmUpMillis: Long = 0,
+    private val warmUpPerSecond: Int = 0,
 ) {
     val timers = ManualTimerService()
     val targets = FakeTargets(timers)
@@ -72,13 +83,13 @@
 
     private fun start(host: ProxyHost) {
         if (isConfigured) host.configure(configuration(version = 1))
-        host.updateTargets(
-            listOf(targetEntry("p", isPrimary = true), targetEntry("r1"), targetEntry("r2")),
-            StorePosition(1, 1),
-        )
+        host.updateTargets(entries, StorePosition(1, 1))
+        if (nameOf(host) !in hostsWithoutPlatform) drains?.let(host::updateDrains)
         host.start()
     }
 
+    private fun nameOf(host: ProxyHost): String = hostsByAddress.entries.first { it.value === host }.key
+
     /** Kills host [index] and starts it anew; it remembers nothing. */
     fun restart(index: Int) {
         val name = "host-$index"
@@ -110,6 +121,7 @@
             },
             log = DecisionLog.None,
             meter = { _, _, _ -> },
+            features = features,
         )
         hostsByAddress[name] = host
         links.add(name, host)
@@ -148,7 +160,13 @@
         routes = databases.associateWith(::route).toImmutableMap(),
         customersByKey = mapOf(key to Customer(CustomerId("press"), Allowance(1_000.0, 1_000.0))).toImmutableMap(),
         groups = mapOf(
-            DatabaseId("g") to GroupPolicy(DatabaseId("g"), 40, isReplicatedBeforeAcknowledged),
+            DatabaseId("g") to GroupPolicy(
+                group = DatabaseId("g"),
+                maxConnections = 40,
+                isReplicatedBeforeAcknowledged = isReplicatedBeforeAcknowledged,
+                warmUpMillis = warmUpMillis,
+                warmUpPerSecond = warmUpPerSecond,
+            ),
         ).toImmutableMap(),
         transactionIdleMillis = 3_000,
     )
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/TestEntries.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/TestEntries.kt
@@ -11,14 +11,17 @@
     isDraining: Boolean = false,
     startedAtUnixMillis: Long = 1,
     sequence: Long = 0,
+    zone: String = "a",
+    warmUpMillis: Long = 0,
 ) = TargetEntry(
     id = TargetId(id),
     group = DatabaseId("g"),
     address = id,
-    zone = "a",
+    zone = zone,
     slotCount = 5,
     isDraining = isDraining,
     isPrimary = isPrimary,
     startedAtUnixMillis = startedAtUnixMillis,
     sequence = sequence,
+    warmUpMillis = warmUpMillis,
 )
