--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.engine.zone.ZoneDrains
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
@@ -11,6 +12,7 @@
  * @property compressed a heartbeat for a host that reads this form; earlier builds ignore it
  * @property readsCompressed true when the sender reads compressed heartbeats; one that sends them does in any case
  * @property capacities what the sender of a heartbeat measured at the targets; hosts of earlier builds ignore it
+ * @property drains the newest drains that the sender knows; null from a host that drains no zones or is of an older build
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -23,4 +25,5 @@
     @CborLabel(6) val compressed: CompressedHeartbeat? = null,
     @CborLabel(7) val readsCompressed: Boolean = false,
     @CborLabel(8) val capacities: List<CapacityReport>? = null,
+    @CborLabel(9) val drains: ZoneDrains? = null,
 )
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -21,12 +21,16 @@
 import dev.cardamomlane.engine.session.CallerSession
 import dev.cardamomlane.engine.statement.CallerAnswer
 import dev.cardamomlane.engine.statement.Statement
+import dev.cardamomlane.engine.target.TargetEntry
+import dev.cardamomlane.engine.zone.ZoneDrains
 import kotlinx.collections.immutable.toImmutableMap
 import reactor.core.publisher.Mono
 
 /**
  * Hosts with fake targets and a fake store, in simulated time.
  *
+ * @param entries the list of targets that each host starts with
+ * @param drains what each host reads from the store at its start, or null when it can't
  * @param settleMillis how long the hosts run before the constructor returns
  */
 class HostFixture(
@@ -35,6 +39,11 @@
     private val isConfigured: Boolean = true,
     private val isReplicatedBeforeAcknowledged: Boolean = false,
     private val features: Features = Features.NONE,
+    private val entries: List<TargetEntry> =
+        listOf(targetEntry("p", isPrimary = true), targetEntry("r1"), targetEntry("r2")),
+    private val drains: ZoneDrains? = null,
+    private val warmUpMillis: Long = 0,
+    private val warmUpPerSecond: Int = 0,
 ) {
     val timers = ManualTimerService()
     val targets = FakeTargets(timers)
@@ -83,13 +92,13 @@
 
     private fun start(host: ProxyHost) {
         if (isConfigured) host.configure(configuration(version = 1))
-        host.updateTargets(
-            listOf(targetEntry("p", isPrimary = true), targetEntry("r1"), targetEntry("r2")),
-            StorePosition(1, 1),
-        )
+        host.updateTargets(entries, StorePosition(1, 1))
+        if (nameOf(host) !in hostsWithoutPlatform) drains?.let(host::updateDrains)
         host.start()
     }
 
+    private fun nameOf(host: ProxyHost): String = hostsByAddress.entries.first { it.value === host }.key
+
     /** Kills host [index] and starts it anew; it remembers nothing. */
     fun restart(index: Int) {
         val name = "host-$index"
@@ -167,7 +176,13 @@
         routes = databases.associateWith(::route).toImmutableMap(),
         customersByKey = mapOf(key to Customer(CustomerId("press"), Allowance(1_000.0, 1_000.0))).toImmutableMap(),
         groups = mapOf(
-            DatabaseId("g") to GroupPolicy(DatabaseId("g"), 40, isReplicatedBeforeAcknowledged),
+            DatabaseId("g") to GroupPolicy(
+                group = DatabaseId("g"),
+                maxConnections = 40,
+                isReplicatedBeforeAcknowledged = isReplicatedBeforeAcknowledged,
+                warmUpMillis = warmUpMillis,
+                warmUpPerSecond = warmUpPerSecond,
+            ),
         ).toImmutableMap(),
         transactionIdleMillis = 3_000,
     )
