--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
@@ -1,5 +1,10 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.core.codec.CborMessages
+import dev.cardamomlane.engine.zone.ZoneDrains
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -27,6 +32,33 @@
         assertEquals(messages, messages.map { PeerCodec.decode(PeerCodec.encode(it)) })
     }
 
+    /** Guards against a fleet in two parts while its hosts are replaced one at a time. */
+    @Test
+    fun `drains arrive, and a message without them is readable by this build and with them by the one before`() {
+        val drains = ZoneDrains.of(StorePosition(2, 7), listOf("y", "x", "x"))
+        val query = MemberQuery("1.2.3.4:7")
+        val sent = PeerMessage("a", incarnation = 1, query = query, drains = drains)
+        val before = CborMessages(PreviousMessage.serializer())
+        val bytes = PeerCodec.encode(sent)
+
+        assertEquals(drains, PeerCodec.decode(bytes)?.drains)
+        assertEquals(listOf("x", "y"), drains.zones)
+        assertEquals(PreviousMessage("a", 1, query = query), before.decode(bytes))
+        val decoded = PeerCodec.decode(before.encode(PreviousMessage("a", 1, query = query)))
+        assertEquals(sent.copy(drains = null), decoded)
+    }
+
+    /** [PeerMessage] as the build before zone drains declares it. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Serializable
+    private data class PreviousMessage(
+        @CborLabel(1) val from: String,
+        @CborLabel(2) val incarnation: Long,
+        @CborLabel(3) val heartbeat: Heartbeat? = null,
+        @CborLabel(4) val query: MemberQuery? = null,
+        @CborLabel(5) val list: MemberList? = null,
+    )
+
     @Test
     fun `bytes that are no message decode to null`() {
         for (bytes in listOf(byteArrayOf(), byteArrayOf(1, 2, 3), "START a".toByteArray())) {
