limits: a refusal for the rate reports early only where another member has a part in it

Cause: each refusal made the member send heartbeats every 60 ms instead of every 250 ms, though no other member served the customer.

Change: with schedulesByValue, a refusal sends an early heartbeat unless this member has reported demand of the customer, no other member reports any and no report is overdue. A member that has not reported the demand yet still does, since its share of the rate depends on its report.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
@@ -60,9 +60,11 @@
         return state.budget(shares)
     }
 
-    /** True when another host reported demand of [customer]. */
-    public fun isSharedWithOthers(customer: CustomerId): Boolean =
-        reportByHost.values.any { (it.usages[customer]?.demandPerSecond ?: 0.0) > 0 }
+    /**
+     * True when this host has reported demand of [customer], no other host reports any, and no report is overdue. A
+     * report ahead of schedule then changes no host's part of the allowance.
+     */
+    public fun isSole(customer: CustomerId): Boolean = states[customer]?.isSole ?: false
 
     /** Decides again on a request that [admit] refused, without counting it as demand a second time. */
     public fun admitAgain(customer: CustomerId, allowance: Allowance, hostCount: Int, nowMillis: Long): Admission {
@@ -159,7 +161,8 @@
         private var grantTokens = 0.0
         private var capacityTokens = 0.0
         private var ownShare = 0.0
-        private var isSole = false
+        var isSole = false
+            private set
         private var beyondGrantCount = 0
         var arrivals = 0
         var admittedCount = 0L
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
@@ -41,17 +41,25 @@
         val allowance = customer.allowance ?: return Admission.Admitted
         if (urgency != null && !isRepeated) {
             val budget = shares.onRequest(customer.id, allowance, fleet.size, nowMillis)
-            urgency.refusal(customer.id, priority, budget, nowMillis)?.let { return it }
+            urgency.refusal(customer.id, priority, budget, nowMillis)?.let {
+                reportSoon(customer)
+                return it
+            }
         }
         val admission = if (isRepeated || urgency != null) {
             shares.admitAgain(customer.id, allowance, fleet.size, nowMillis)
         } else {
             shares.admit(customer.id, allowance, fleet.size, nowMillis)
         }
-        if (admission is Admission.Refused && !isRepeated) fleet.heartbeatSoon()
+        if (admission is Admission.Refused && !isRepeated) reportSoon(customer)
         return admission
     }
 
+    /** Tells the other members early, so that they leave their parts of the rate, unless they have none to leave. */
+    private fun reportSoon(customer: Customer) {
+        if (urgency == null || !shares.isSole(customer.id)) fleet.heartbeatSoon()
+    }
+
     /** The demand of each customer at this host, as reported to all members now. */
     fun demand(nowMillis: Long): List<CustomerDemand> {
         shares.retainHosts(fleet.alivePeers(nowMillis).mapTo(HashSet()) { HostId(it.member.name) })
