forward: a host refuses at once what the customer's member would refuse for the rate

Cause: operations over a customer's rate were each forwarded to its member, refused there and sent back over the links between zones.

Change: with schedulesByValue, the member's answer says which fraction of the customer's operations of that priority to send, for at most 500 ms. Both are labelled fields of HostMessage, which the previous build ignores; the arrays OperationAnswer and OperationStart are unchanged, since the previous build can't decode longer ones.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
@@ -55,6 +55,13 @@
         return admission
     }
 
+    override fun sendFraction(customer: Customer, priority: Int): Double =
+        urgency?.sendFraction(customer.id, priority, timers.nowMillis()) ?: 1.0
+
+    override fun onRefusedElsewhere(customer: Customer, priority: Int, count: Int) {
+        urgency?.onRefusedElsewhere(customer.id, priority, count, timers.nowMillis())
+    }
+
     /** Tells the other members early, so that they leave their parts of the rate, unless they have none to leave. */
     private fun reportSoon(customer: Customer) {
         if (urgency == null || !shares.isSole(customer.id)) fleet.heartbeatSoon()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -101,6 +101,9 @@
     /** Operations refused here because more urgent ones of their customers use up the rate. */
     public val refusedByPriorityCount: Long get() = urgency?.refusedCount ?: 0
 
+    /** Operations refused here because a member said that their customer is over its rate. */
+    public val refusedByHintCount: Long get() = forwarder.hints.refusedCount
+
     /** The number of sessions, those that wait to be opened included. */
     public val sessionCount: Int get() = sessions.size
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/RateByUrgency.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/RateByUrgency.kt
@@ -22,6 +22,8 @@
     /** Returns the refusal of an operation that must leave [budget] to more urgent ones, or null when there is none. */
     fun refusal(customer: CustomerId, priority: Int, budget: TokenBudget, nowMillis: Long): Admission.Refused? {
         val state = customers.getOrPut(customer) { CustomerState() }
+        state.budget = budget
+        state.decidedAtMillis = nowMillis
         val admission = state.admission.decide(priority, budget, nowMillis)
         if (admission !is Admission.Refused) return null
         refusedCount++
@@ -32,6 +34,24 @@
         return admission
     }
 
+    /**
+     * The fraction of the operations of [priority] that other hosts should send. A bit more than is admitted, so that
+     * hosts that each leave out a part of few operations waste no tokens.
+     */
+    fun sendFraction(customer: CustomerId, priority: Int, nowMillis: Long): Double {
+        val state = customers[customer] ?: return 1.0
+        val budget = state.budget ?: return 1.0
+        if (nowMillis - state.decidedAtMillis > MAX_BUDGET_AGE_MILLIS) return 1.0
+        val admitted = state.admission.admittedFraction(priority, budget, nowMillis)
+        return if (admitted >= 1) 1.0 else minOf(1.0, admitted * SEND_MARGIN)
+    }
+
+    /** Counts operations that another host refused by a hint as demand. */
+    fun onRefusedElsewhere(customer: CustomerId, priority: Int, count: Int, nowMillis: Long) {
+        val state = customers[customer] ?: return
+        state.admission.onRefusedElsewhere(priority, count, state.budget ?: return, nowMillis)
+    }
+
     private fun logRefusals(customer: CustomerId, state: CustomerState, budget: TokenBudget, nowMillis: Long) {
         state.loggedAtMillis = nowMillis
         log.event(
@@ -45,12 +65,22 @@
     private class CustomerState {
         val admission = PriorityAdmission()
 
+        /** What could be spent at the last decision, and when that was. */
+        var budget: TokenBudget? = null
+        var decidedAtMillis = 0L
+
         /** Operations refused since the last log line. */
         val refusedByPriority = sortedMapOf<Int, Int>()
         var loggedAtMillis: Long? = null
     }
 
     private companion object {
+        /** How many more operations than are admitted should be sent, as a factor. */
+        const val SEND_MARGIN = 1.25
+
+        /** A customer over its rate has a decision much more often than this. */
+        const val MAX_BUDGET_AGE_MILLIS = 250L
+
         /** The least time between two log lines about one customer. */
         const val LOG_INTERVAL_MILLIS = 1_000L
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
@@ -37,6 +37,19 @@
     override fun open(link: CallerLink, database: String, key: String?): CallerSession? =
         if (isLeaving || !mayServe()) null else CallerSession(services, link, database, key, isForwarded = true)
 
+    override fun hint(start: OperationStart): SendHint? {
+        val customer = services.configuration.customersByKey[start.key] ?: return null
+        val route = services.configuration.routes[start.database] ?: return null
+        val fraction = services.gate.sendFraction(customer, route.priority)
+        return if (fraction >= 1) null else SendHint(fraction.toFloat(), HINT_MILLIS)
+    }
+
+    override fun onRefusedByHint(start: OperationStart, count: Int) {
+        val customer = services.configuration.customersByKey[start.key] ?: return
+        val route = services.configuration.routes[start.database] ?: return
+        services.gate.onRefusedElsewhere(customer, route.priority, count)
+    }
+
     override fun close(session: CallerSession) = session.onClosed()
 
     override fun onLinkClosed(operations: IncomingOperations) {
@@ -53,4 +66,9 @@
     fun abortTransactions(reason: String) {
         links.forEach { it.abortTransactions(reason) }
     }
+
+    companion object {
+        /** How long a hint holds. Hosts with few operations gain most; an answer without a hint ends it sooner. */
+        const val HINT_MILLIS = 500
+    }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedSessions.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedSessions.kt
@@ -8,6 +8,12 @@
     /** The newest configuration that this host knows. */
     val configurationVersion: Long
 
+    /** The hint for other operations like the one that [start] began, or null when all of them are to be sent. */
+    fun hint(start: OperationStart): SendHint?
+
+    /** Counts [count] operations like the one that [start] begins, which the sender has refused, as demand. */
+    fun onRefusedByHint(start: OperationStart, count: Int)
+
     /** Opens a session that serves one operation, or returns null when this host takes no operations now. */
     fun open(link: CallerLink, database: String, key: String?): CallerSession?
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/Forwarder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/Forwarder.kt
@@ -24,6 +24,9 @@
     private val connections = HashMap<String, HostConnection>()
     private val avoidedUntilMillis = HashMap<String, Long>()
 
+    /** What the members say about customers that are over their rates. */
+    internal val hints = ForwardingHints()
+
     /** The newest configuration version by which a member has decided for this host. */
     public var newestVersion: Long = -1
         private set
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
@@ -49,11 +49,11 @@
     }
 
     /** Sends a step of an operation. When the connection has ended, the operation's listener is told so at once. */
-    fun send(request: OperationRequest) {
+    fun send(request: OperationRequest, refusedByHintCount: Int = 0) {
         val waiting = operations[request.operation] ?: return
         if (isClosed) return end(request.operation, waiting)
         waiting.sentAtMillis = timers.nowMillis()
-        link.send(HostMessage(request = request))
+        link.send(HostMessage(request = request, refusedByHintCount = refusedByHintCount))
         if (watch == null) watch = timers.after(WATCH_INTERVAL_MILLIS) { watch() }
     }
 
@@ -76,6 +76,7 @@
         val answer = message.answer ?: return
         val waiting = operations[answer.operation] ?: return
         waiting.sentAtMillis = null
+        waiting.listener.onHint(message.hint)
         waiting.listener.onAnswer(answer)
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
@@ -9,6 +9,9 @@
  *
  * @property ping asks for a message with [pong] set, to see whether the connection still carries messages
  * @property isLeaving true when the sender takes no new operations
+ * @property refusedByHintCount with a [request] that starts an operation, how many operations of the same customer and
+ *   priority the sender has refused by a hint since the last one
+ * @property hint with an [answer], how many operations of the same customer and priority to send; null for all
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -18,4 +21,6 @@
     @CborLabel(3) val ping: Boolean = false,
     @CborLabel(4) val pong: Boolean = false,
     @CborLabel(5) val isLeaving: Boolean = false,
+    @CborLabel(6) val refusedByHintCount: Int = 0,
+    @CborLabel(7) val hint: SendHint? = null,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -113,7 +113,7 @@
             position = answer.position,
             configurationVersion = sessions.configurationVersion,
         )
-        link.send(HostMessage(answer = message))
+        link.send(HostMessage(answer = message, hint = sessions.hint(start)))
     }
 
     private fun end(code: ErrorCode, text: String) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
@@ -21,7 +21,13 @@
 
     override fun onMessage(message: HostMessage) {
         if (message.ping) link.send(HostMessage(pong = true))
-        message.request?.let(::onRequest)
+        message.request?.let { request ->
+            val start = request.start
+            if (start != null && message.refusedByHintCount > 0) {
+                sessions.onRefusedByHint(start, message.refusedByHintCount)
+            }
+            onRequest(request)
+        }
     }
 
     override fun onClosed() {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationListener.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationListener.kt
@@ -2,6 +2,9 @@
 
 /** Receives the answers to the steps of one forwarded operation. */
 internal interface OperationListener {
+    /** Called before [onAnswer] with the hint that came with the answer, or null when there was none. */
+    fun onHint(hint: SendHint?)
+
     /** The last step got its answer. */
     fun onAnswer(answer: OperationAnswer)
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/AdmissionGate.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/AdmissionGate.kt
@@ -12,4 +12,10 @@
      * @param isRepeated true for another try of an operation that was refused before
      */
     public fun admit(customer: Customer, priority: Int, isRepeated: Boolean): Admission
+
+    /** The fraction of [customer]'s operations of [priority] that other hosts should forward here now. */
+    public fun sendFraction(customer: Customer, priority: Int): Double = 1.0
+
+    /** Counts [count] operations of [customer] that another host refused on the advice of [sendFraction]. */
+    public fun onRefusedElsewhere(customer: Customer, priority: Int, count: Int): Unit = Unit
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
@@ -32,6 +32,7 @@
         onRefused: (OperationRefusal) -> Unit,
     ) = withRoute(onRefused) { route, customer ->
         if (isRemote(customer)) {
+            refusalByHint(route, customer)?.let { return@withRoute onRefused(it) }
             onStarted(RemoteTransaction(remoteCall(context, route, customer), isReadOnly))
         } else {
             admitHere(context, route, customer, onRefused) { group ->
@@ -63,6 +64,7 @@
         done: (Route, Outcome) -> Unit,
     ) = withRoute(onRefused) { route, customer ->
         if (isRemote(customer)) {
+            refusalByHint(route, customer)?.let { return@withRoute onRefused(it) }
             val execution = RemoteStatement(remoteCall(context, route, customer), statement, state) { done(route, it) }
             onStarted(execution)
             execution.start()
@@ -110,6 +112,16 @@
     private fun isRemote(customer: Customer?): Boolean =
         !isForwarded && services.forwarder.place(nameOf(customer)) !is ServingPlace.Here
 
+    /** The refusal of an operation that its member would refuse for the rate, as it said, or null to send it. */
+    private fun refusalByHint(route: Route, customer: Customer?): OperationRefusal? {
+        if (!services.features.schedulesByValue || customer == null) return null
+        val retryAfterMillis =
+            services.forwarder.hints.retryAfterMillis(nameOf(customer), route.priority, services.timers.nowMillis())
+                ?: return null
+        val text = "${RefusalReason.LESS_URGENT.text}, not run, retry after $retryAfterMillis ms"
+        return OperationRefusal(ErrorCode.BUSY, text, route)
+    }
+
     private fun remoteCall(context: OperationContext, route: Route, customer: Customer?) =
         RemoteCall(services, route, database, key, nameOf(customer), context.lastCommit)
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
@@ -6,6 +6,7 @@
 import dev.cardamomlane.engine.forward.HostConnection
 import dev.cardamomlane.engine.forward.OperationAnswer
 import dev.cardamomlane.engine.forward.OperationStart
+import dev.cardamomlane.engine.forward.SendHint
 import dev.cardamomlane.engine.forward.ServingPlace
 import dev.cardamomlane.engine.forward.TransactionKind
 import dev.cardamomlane.engine.statement.StatementError
@@ -34,6 +35,15 @@
         return place.connection
     }
 
+    /** How many operations like this one were refused here by a hint, to send along with the first step. */
+    fun takeRefusedByHintCount(): Int =
+        forwarder.hints.takeRefusedCount(customerName, route.priority, services.timers.nowMillis())
+
+    fun onHint(hint: SendHint?) {
+        if (!services.features.schedulesByValue) return
+        forwarder.hints.onAnswer(customerName, route.priority, hint, services.timers.nowMillis())
+    }
+
     fun start(transaction: TransactionKind) = OperationStart(
         database = database,
         key = key,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
@@ -5,6 +5,7 @@
 import dev.cardamomlane.engine.forward.OperationAnswer
 import dev.cardamomlane.engine.forward.OperationListener
 import dev.cardamomlane.engine.forward.OperationRequest
+import dev.cardamomlane.engine.forward.SendHint
 import dev.cardamomlane.engine.forward.StepKind
 import dev.cardamomlane.engine.forward.TransactionKind
 import dev.cardamomlane.engine.statement.Access
@@ -81,9 +82,12 @@
                     shape = statement.plan?.shape,
                     values = state.values,
                 ),
+                call.takeRefusedByHintCount(),
             )
         }
 
+        override fun onHint(hint: SendHint?) = call.onHint(hint)
+
         override fun onAnswer(answer: OperationAnswer) {
             attempts -= this
             connection.finish(operation)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
@@ -6,6 +6,7 @@
 import dev.cardamomlane.engine.forward.OperationAnswer
 import dev.cardamomlane.engine.forward.OperationListener
 import dev.cardamomlane.engine.forward.OperationRequest
+import dev.cardamomlane.engine.forward.SendHint
 import dev.cardamomlane.engine.forward.StepKind
 import dev.cardamomlane.engine.forward.TransactionKind
 import dev.cardamomlane.engine.statement.Access
@@ -78,9 +79,14 @@
         }
         val values = step.values.takeIf { isFirst || it != sentValues }
         sentValues = step.values
-        connection?.send(OperationRequest(operation, start, step.kind, step.id, step.text, step.shape, values))
+        connection?.send(
+            OperationRequest(operation, start, step.kind, step.id, step.text, step.shape, values),
+            if (isFirst) call.takeRefusedByHintCount() else 0,
+        )
     }
 
+    override fun onHint(hint: SendHint?) = call.onHint(hint)
+
     override fun onAnswer(answer: OperationAnswer) {
         val step = current ?: return
         connection?.let { call.forwarder.decidedBy(it, answer.configurationVersion) }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/RateLimitTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/RateLimitTest.kt
@@ -105,6 +105,21 @@
         assertTrue(counts[1] <= quietCount * 1.1, "after: ${counts[1]}, quiet: $quietCount")
     }
 
+    @Test
+    fun `hosts without a seat refuse operations by hint, and with the switch off forward everything`() {
+        val loads = listOf(Features.NONE, on).map { features -> Load(features, hostCount = 12).also { it.run(5_000) } }
+        val (before, after) = loads.map { load -> load.fixture.links.requestCounts.values.sum() }
+        val refusedByHint = loads.map { load -> load.fixture.hosts.sumOf { it.refusedByHintCount } }
+
+        println("forwarded before $before, after $after; refused by hint $refusedByHint")
+        for (name in DATABASES) println("%-9s %13d %6d".format(name, loads[0].served(name), loads[1].served(name)))
+        assertEquals(0, refusedByHint[0])
+        assertTrue(after < before, "forwarded before $before, after $after")
+        assertTrue(refusedByHint[1] > 0)
+        assertTrue(loads[1].served("latest") > loads[0].served("latest") * 1.5)
+        assertTrue(loads[1].refused("bounded").all { it.code == ErrorCode.BUSY && "not run, retry after" in it.text })
+    }
+
     private companion object {
         const val RATE = 50.0
         const val TURN_MILLIS = 20L
