--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LearnedCapacity.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LearnedCapacity.kt
@@ -53,17 +53,23 @@
 
     override val isInUse: Boolean get() = window.runningCount < targetHealth.maxRunning(nowMillis)
 
+    override val isOnTrial: Boolean get() = isInUse && !targetHealth.isHealthy
+
     override val totalRunningCount: Double get() = window.runningCount + peers.running
 
     /** The failures and answers of this target at this member. */
     public val failedCount: Double get() = targetHealth.own.failedCount
     public val answeredCount: Double get() = targetHealth.own.totalCount
 
-    /** The part of the limit that this member may use: what others leave, its equal part, and at least one. */
+    /**
+     * The part of the limit that this member may use: what others leave, or its equal part. That one is rounded up, as
+     * members that all round down leave a target of four to three members idle for a quarter of the time.
+     */
     private val share: Int
         get() {
-            val total = search.probedLimit.roundToInt()
-            return maxOf(1, total / (peers.activeCount + 1), total - ceil(peers.running - ROUNDING).toInt())
+            val total = ceil(search.probedLimit - LIMIT_ROUNDING).toInt()
+            val memberCount = peers.activeCount + 1
+            return maxOf((total + memberCount - 1) / memberCount, total - ceil(peers.running - ROUNDING).toInt())
         }
 
     override fun expectedMillis(kind: WorkKind, nowMillis: Long): Double? =
@@ -163,8 +169,9 @@
     }
 
     private fun evaluate(own: CapacitySample, isUsedInFull: Boolean, nowMillis: Long) {
-        val isBusiest = own.running > 0 && peers.all.none { it.running > own.running }
+        val isBusiest = own.running > 0 && peers.all.none { it.running > own.running + BUSIEST_MARGIN }
         search.onWindow(evidence.running, evidence.loadRatio, isUsedInFull && isBusiest, nowMillis)
+        if (peers.activeCount > 0) search.approach(peers.all.map { it.limit }.average())
         evidence.clear()
         if (abs(search.limit - loggedLimit) <= maxOf(1.0, loggedLimit) * LOGGED_CHANGE) return
         listener.onLimit(loggedLimit, search.limit)
@@ -195,5 +202,11 @@
 
         /** The running count of others is a mean; a small rest of it is no statement. */
         const val ROUNDING = 0.25
+
+        /** A limit that is above a whole number by more than the noise is rounded up: idle slots cost more than short waits. */
+        const val LIMIT_ROUNDING = 0.15
+
+        /** The members that are about as busy as this one may probe at the same time. */
+        const val BUSIEST_MARGIN = 0.3
     }
 }
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LimitSearch.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LimitSearch.kt
@@ -29,6 +29,11 @@
         limit = found.coerceIn(1.0, slots.toDouble())
     }
 
+    /** Moves the limit towards the mean of those that the other members have found. */
+    fun approach(found: Double) {
+        if (probe == 0.0) limit += (found.coerceIn(1.0, slots.toDouble()) - limit) * PEER_WEIGHT
+    }
+
     /**
      * Takes in one window.
      *
@@ -70,7 +75,10 @@
     private fun queueingRatio(): Double = 1 + maxOf(MIN_QUEUEING, ONE_STATEMENT_PART / limit)
 
     private companion object {
-        const val INITIAL_LIMIT = 2.0
+        const val INITIAL_LIMIT = 1.0
+
+        /** Differences between members come from the noise of their windows, and shrink to a third in about a second. */
+        const val PEER_WEIGHT = 0.2
         const val LOADED_FRACTION = 0.5
         const val MIN_QUEUEING = 0.12
         const val ONE_STATEMENT_PART = 0.6
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/TargetCapacity.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/TargetCapacity.kt
@@ -23,6 +23,9 @@
     /** True unless the target is out of use because it fails statements that other targets answer. */
     public val isInUse: Boolean
 
+    /** True while a target that was out of use is tried with a few statements. */
+    public val isOnTrial: Boolean get() = false
+
     /** The statements that are running at the target, those that other members report included. */
     public val totalRunningCount: Double
 
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/TargetHealth.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/TargetHealth.kt
@@ -47,19 +47,21 @@
         when {
             isHealthy && isFailure && isWorseThan(othersRate, peers) -> leave(nowMillis)
             isHealthy || nowMillis < pausedUntilMillis -> Unit
-            isFailure -> leave(nowMillis)
+            isFailure && failures.rate > maxRate(othersRate) -> leave(nowMillis)
             else -> continueTrial(nowMillis)
         }
     }
 
     private fun isWorseThan(othersRate: Double, peers: List<CapacitySample>): Boolean {
-        val maxRate = othersRate * OTHERS_FACTOR + MIN_EXCESS
+        val maxRate = maxRate(othersRate)
         if (failures.failedCount >= MIN_FAILED && failures.rate > maxRate) return true
         val failedCount = failures.failedCount + peers.sumOf { it.failedPerSecond }
         val totalCount = failures.totalCount + peers.sumOf { it.answeredPerSecond }
         return failedCount >= MIN_FAILED && failedCount / totalCount > maxRate
     }
 
+    private fun maxRate(othersRate: Double): Double = othersRate * OTHERS_FACTOR + MIN_EXCESS
+
     private fun leave(nowMillis: Long) {
         if (isHealthy && nowMillis - backSinceMillis > STABLE_MILLIS) pauseMillis = FIRST_PAUSE_MILLIS
         isHealthy = false
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CapacityReports.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CapacityReports.kt
@@ -23,4 +23,13 @@
                 ?.onPeer(peer.member.name, peer.member.zone, report.sample(), nowMillis)
         }
     }
+
+    /** The learned limit and the health of each target, by the name of the metric. */
+    fun gauges(): Map<String, Number> = buildMap {
+        for (target in groups().flatMap { it.targets }) {
+            val capacity = target.capacity as? LearnedCapacity ?: continue
+            put("target_limit{target=\"${target.entry.id.value}\"}", capacity.limit)
+            put("target_health{target=\"${target.entry.id.value}\"}", capacity.health)
+        }
+    }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -315,6 +315,9 @@
 
     override fun demand(nowMillis: Long): List<CustomerDemand> = limits.demand(nowMillis)
 
+    /** The learned limit and the health of each target, by the name of the metric; empty while nothing is learned. */
+    public fun capacityGauges(): Map<String, Number> = capacities.gauges()
+
     override fun capacityReports(): List<CapacityReport>? = if (features.learnsCapacity) capacities.own() else null
 
     override fun onCapacityReports(peer: Peer, reports: List<CapacityReport>, nowMillis: Long): Unit =
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/ReadChoice.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/ReadChoice.kt
@@ -21,10 +21,13 @@
         val capacity = target.capacity
         val serviceMillis = capacity.expectedMillis(kind, nowMillis) ?: bestMillis
         val timeMillis = ExpectedTime.millis(capacity.totalRunningCount, capacity.limit, serviceMillis)
-        return timeMillis / maxOf(MIN_HEALTH, capacity.health)
+        return if (capacity.isOnTrial) timeMillis * TRIAL_FACTOR else timeMillis / maxOf(MIN_HEALTH, capacity.health)
     }
 
     private companion object {
+        /** Prefers a target on trial to an equal one, since otherwise an idle group would never end the trial. */
+        const val TRIAL_FACTOR = 0.8
+
         /** The assumed time of a kind that no target has run. */
         const val UNKNOWN_MILLIS = 10.0
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -87,6 +87,9 @@
     /** The codes with which the next callers' statements are refused, without running them. */
     val refusals = ArrayDeque<ErrorCode>()
 
+    /** Every statement of a caller is refused with this code while it is set. */
+    var refusesWith: ErrorCode? = null
+
     /** How many of the next statements run but have their answer lost. */
     var lostAnswers = 0
 }
@@ -129,7 +132,8 @@
     }
 
     private fun answer(statement: TargetStatement) {
-        val refusal = if (statement.hasCallersId()) target.refusals.removeFirstOrNull() else null
+        val refusal =
+            if (statement.hasCallersId()) target.refusals.removeFirstOrNull() ?: target.refusesWith else null
         if (refusal != null) return reply(error = StatementError(refusal, "test"))
         val after = statement.after()
         if (after != null && target.position < after) return reply(error = StatementError(ErrorCode.LAGGING, "test"))
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -7,6 +7,7 @@
 import dev.cardamomlane.engine.config.Configuration
 import dev.cardamomlane.engine.config.Consistency
 import dev.cardamomlane.engine.config.Customer
+import dev.cardamomlane.engine.config.Features
 import dev.cardamomlane.engine.config.GroupPolicy
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.fleet.Member
@@ -30,6 +31,8 @@
     settleMillis: Long = 1_000,
     private val isConfigured: Boolean = true,
     private val isReplicatedBeforeAcknowledged: Boolean = false,
+    private val features: Features = Features.NONE,
+    private val log: DecisionLog = DecisionLog.None,
 ) {
     val timers = ManualTimerService()
     val targets = FakeTargets(timers)
@@ -108,8 +111,9 @@
                     Mono.fromSupplier { promote(target.value, fence) }
                 }
             },
-            log = DecisionLog.None,
+            log = log,
             meter = { _, _, _ -> },
+            features = features,
         )
         hostsByAddress[name] = host
         links.add(name, host)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 class PeerCodecTest {
     @Test
@@ -11,8 +12,12 @@
         val demand = listOf(CustomerDemand("press", 0f, 0))
         val heartbeat = Heartbeat(1, -1, 0, 0, 20, 42, 7, true, true, listOf("b"), listOf(status), demand)
         val sent = PeerMessage("a", incarnation = 0, heartbeat)
+        val withCapacities = sent.copy(capacities = listOf(CapacityReport("t", 15, 100, 1, 900, 800, 40)))
 
         assertEquals(sent, PeerCodec.decode(PeerCodec.encode(sent)))
+        assertEquals(withCapacities, PeerCodec.decode(PeerCodec.encode(withCapacities)))
+        val reportBytes = PeerCodec.encode(withCapacities).size - PeerCodec.encode(sent).size
+        assertTrue(reportBytes <= 30, "a report takes $reportBytes bytes")
     }
 
     @Test
