--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -44,6 +44,7 @@
     private val drains: ZoneDrains? = null,
     private val warmUpMillis: Long = 0,
     private val warmUpPerSecond: Int = 0,
+    private val log: DecisionLog = DecisionLog.None,
 ) {
     val timers = ManualTimerService()
     val targets = FakeTargets(timers)
@@ -128,7 +129,7 @@
                     Mono.fromSupplier { promote(target.value, fence) }
                 }
             },
-            log = DecisionLog.None,
+            log = log,
             meter = { _, _, _ -> },
             features = features,
         )
