Capacity, limits and drains: clearer names, reasons of constants, doc comments

Documents each constant of the learned capacity, gives CapacitySample and CapacityReport units in their field names, and separates doc comments that covered two members. CapacityReport is encoded as an array, so its field names are not on the wire. The spread of retry times and the planned reasons for a takeover were written twice; each is written once. Wraps long lines.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/AnswerWindow.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/AnswerWindow.kt
@@ -4,6 +4,8 @@
 internal class AnswerWindow {
     private var startedAtMillis = Long.MIN_VALUE
     private var changedAtMillis = 0L
+
+    /** The sum of the times for which each statement ran in the window. */
     private var runningMillis = 0.0
     private var tookMillis = 0.0
     private var answeredCount = 0
@@ -17,14 +19,12 @@
     var maxRunningCount: Int = 0
         private set
 
-    /** The mean time of the window's answers, or NaN when there were none. */
-    val meanMillis: Double get() = if (answeredCount >
-        failedCount
-    ) {
-        tookMillis / (answeredCount - failedCount)
-    } else {
-        Double.NaN
-    }
+    /** The mean time of the window's successful answers, or NaN when there were none. */
+    val meanMillis: Double
+        get() {
+            val successCount = answeredCount - failedCount
+            return if (successCount > 0) tookMillis / successCount else Double.NaN
+        }
 
     /** The time since the window began. */
     fun durationMillis(nowMillis: Long): Long {
@@ -33,25 +33,30 @@
     }
 
     /** Changes the number of running statements by [change]. */
-    fun run(change: Int, nowMillis: Long) {
+    fun changeRunning(change: Int, nowMillis: Long) {
         advance(nowMillis)
         runningCount += change
         maxRunningCount = maxOf(maxRunningCount, runningCount)
     }
 
-    /** Counts one answer after [tookMillis]. */
-    fun answer(tookMillis: Double) {
+    /** Counts one successful answer after [tookMillis]. */
+    fun addAnswer(tookMillis: Double) {
         answeredCount++
         this.tookMillis += tookMillis
     }
 
-    /** Counts one failure. */
-    fun fail() {
+    /** Counts one failure as an answer without a time. */
+    fun addFailure() {
         answeredCount++
         failedCount++
     }
 
-    /** Ends the window and returns its rates. [workMillis] is what its answers would have taken without load. */
+    /**
+     * Ends the window and returns its rates.
+     *
+     * @param workMillis how long its answers would have taken in all at the unloaded target
+     * @param limit the concurrency limit in use
+     */
     fun end(workMillis: Double, limit: Double, nowMillis: Long): CapacitySample {
         advance(nowMillis)
         val perSecond = MILLIS_PER_SECOND / maxOf(1L, nowMillis - startedAtMillis)
@@ -59,8 +64,8 @@
             running = runningMillis / maxOf(1L, nowMillis - startedAtMillis),
             answeredPerSecond = answeredCount * perSecond,
             failedPerSecond = failedCount * perSecond,
-            tookPerSecond = tookMillis * perSecond,
-            workPerSecond = workMillis * perSecond,
+            tookMillisPerSecond = tookMillis * perSecond,
+            workMillisPerSecond = workMillis * perSecond,
             limit = limit,
         )
         restart(nowMillis)
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LearnedCapacity.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LearnedCapacity.kt
@@ -28,7 +28,7 @@
     private val targetHealth = TargetHealth()
     private val timesByKind = LinkedHashMap<WorkKind, UnloadedTime>()
     private var loggedLimit = slots.toDouble()
-    private var createdAtMillis = Long.MIN_VALUE
+    private var firstCallAtMillis = Long.MIN_VALUE
     private var nowMillis = 0L
 
     init {
@@ -57,19 +57,24 @@
 
     override val totalRunningCount: Double get() = window.runningCount + peers.running
 
-    /** The failures and answers of this target at this member. */
-    public val failedCount: Double get() = targetHealth.own.failedCount
-    public val answeredCount: Double get() = targetHealth.own.totalCount
+    /** The recent failures of the target at this member; older ones count less. */
+    public val failedCount: Double get() = targetHealth.failures.failedCount
+
+    /** The recent answers of the target at this member, failures included; older ones count less. */
+    public val answeredCount: Double get() = targetHealth.failures.totalCount
 
     /**
-     * The part of the limit that this member may use: what others leave, or its equal part. That one is rounded up, as
-     * members that all round down leave a target of four to three members idle for a quarter of the time.
+     * The part of the limit that this member may use: what others leave, or at least its equal part. The equal part is
+     * rounded up: three members that round down use only three of four slots.
      */
     private val share: Int
         get() {
-            val total = ceil(search.probedLimit - LIMIT_ROUNDING).toInt()
+            val total = ceil(search.probedLimit - LIMIT_TOLERANCE).toInt()
             val memberCount = peers.activeCount + 1
-            return maxOf((total + memberCount - 1) / memberCount, total - ceil(peers.running - ROUNDING).toInt())
+            return maxOf(
+                (total + memberCount - 1) / memberCount,
+                total - ceil(peers.running - RUNNING_TOLERANCE).toInt(),
+            )
         }
 
     override fun expectedMillis(kind: WorkKind, nowMillis: Long): Double? =
@@ -78,21 +83,21 @@
     /** The load ratio that the other members of this zone report. */
     private fun zoneRatio(): Double {
         val samples = peers.byZone[zone] ?: return 1.0
-        val workPerSecond = samples.sumOf { it.workPerSecond }
-        return if (workPerSecond > 0) samples.sumOf { it.tookPerSecond } / workPerSecond else 1.0
+        val workMillisPerSecond = samples.sumOf { it.workMillisPerSecond }
+        return if (workMillisPerSecond > 0) samples.sumOf { it.tookMillisPerSecond } / workMillisPerSecond else 1.0
     }
 
     override fun started(kind: WorkKind, nowMillis: Long) {
         tick(nowMillis)
-        window.run(+1, nowMillis)
+        window.changeRunning(+1, nowMillis)
     }
 
     override fun answered(kind: WorkKind, tookMillis: Double, isSuccess: Boolean, nowMillis: Long) {
         require(tookMillis >= 0) { "tookMillis must not be negative but was $tookMillis" }
-        window.run(-1, nowMillis)
+        window.changeRunning(-1, nowMillis)
         recordOutcome(!isSuccess, nowMillis)
         if (isSuccess) {
-            window.answer(tookMillis)
+            window.addAnswer(tookMillis)
             times(kind).add(tookMillis)
         }
         tick(nowMillis)
@@ -101,12 +106,12 @@
     override fun refused(kind: WorkKind, nowMillis: Long): Unit = lost(kind, nowMillis)
 
     override fun lost(kind: WorkKind, nowMillis: Long) {
-        window.run(-1, nowMillis)
+        window.changeRunning(-1, nowMillis)
         failed(nowMillis)
     }
 
     override fun released(kind: WorkKind, nowMillis: Long) {
-        window.run(-1, nowMillis)
+        window.changeRunning(-1, nowMillis)
         tick(nowMillis)
     }
 
@@ -119,13 +124,13 @@
     private fun recordOutcome(isFailure: Boolean, nowMillis: Long) {
         this.nowMillis = nowMillis
         val wasHealthy = targetHealth.isHealthy
-        val rateBefore = targetHealth.own.rate
-        if (isFailure) window.fail()
+        val rateBefore = targetHealth.failures.rate
+        if (isFailure) window.addFailure()
         targetHealth.add(isFailure, othersFailureRate(), peers.byZone[zone].orEmpty(), nowMillis)
         if (targetHealth.isHealthy != wasHealthy) listener.onUse(targetHealth.isHealthy, rateBefore)
     }
 
-    /** Bounded, since routes may be renamed while the member runs. */
+    /** Keeps at most [MAX_KINDS] kinds, since routes may be renamed while the member runs. */
     private fun times(kind: WorkKind): UnloadedTime = timesByKind.getOrPut(kind) {
         if (timesByKind.size >= MAX_KINDS) timesByKind.remove(timesByKind.keys.first())
         UnloadedTime()
@@ -134,8 +139,8 @@
     /** Takes in what [member] of [zone] reports of this target. */
     public fun onPeer(member: String, zone: String, sample: CapacitySample, nowMillis: Long) {
         peers.put(member, zone, sample, nowMillis)
-        if (createdAtMillis == Long.MIN_VALUE) createdAtMillis = nowMillis
-        if (nowMillis - createdAtMillis < ADOPTING_MILLIS) adopt(peers.all.map { it.limit }.average())
+        if (firstCallAtMillis == Long.MIN_VALUE) firstCallAtMillis = nowMillis
+        if (nowMillis - firstCallAtMillis < ADOPTING_MILLIS) adopt(peers.all.map { it.limit }.average())
     }
 
     private fun adopt(found: Double) {
@@ -145,9 +150,9 @@
     /** Ends the window when it is long enough. To be called at short intervals. */
     public fun tick(nowMillis: Long) {
         this.nowMillis = nowMillis
-        if (createdAtMillis == Long.MIN_VALUE) createdAtMillis = nowMillis
+        if (firstCallAtMillis == Long.MIN_VALUE) firstCallAtMillis = nowMillis
         peers.expire(nowMillis)
-        targetHealth.own.forget(nowMillis)
+        targetHealth.failures.decay(nowMillis)
         val durationMillis = window.durationMillis(nowMillis)
         if (durationMillis >= WINDOW_MILLIS) endWindow(durationMillis, nowMillis)
     }
@@ -181,32 +186,42 @@
     private companion object {
         /** The assumed mean service time of a target that has not answered yet. */
         const val INITIAL_SERVICE_MILLIS = 25.0
+
+        /** The weight of the newest window in the mean service time. */
         const val SERVICE_SMOOTHING = 0.5
 
         /** Two windows with queueing and one heartbeat fit into the second in which a slow-down has to be detected. */
         const val WINDOW_MILLIS = 200L
 
-        /** A member that has just started takes the limit that its peers have found. */
+        /** For how long a member that has just started adopts a higher limit that its peers have found. */
         const val ADOPTING_MILLIS = 1_000L
 
-        /** Fewer answers say little about the load; they are kept for [MAX_EVIDENCE_MILLIS] until there are more. */
+        /** Fewer answers say little about the load, so windows are added up until there are as many. */
         const val MIN_ANSWERS = 5.0
+
+        /** Windows are added up for at most this time. */
         const val MAX_EVIDENCE_MILLIS = 2_000.0
 
         /** A target that runs no more than one statement, or this part of its limit, does not queue. */
         const val UNLOADED_RUNNING = 1.0
         const val UNLOADED_FRACTION = 0.5
 
+        /** The limit is logged when it has changed by more than this part since the last log line. */
         const val LOGGED_CHANGE = 0.2
+
+        /** The number of kinds whose times are kept. */
         const val MAX_KINDS = 64
 
-        /** The running count of others is a mean; a small rest of it is no statement. */
-        const val ROUNDING = 0.25
+        /** The peers' mean running count is rounded down when it exceeds a whole number by no more than this. */
+        const val RUNNING_TOLERANCE = 0.25
 
-        /** A limit that is above a whole number by more than the noise is rounded up: idle slots cost more than short waits. */
-        const val LIMIT_ROUNDING = 0.15
+        /**
+         * The limit is rounded up when it exceeds a whole number by more than this noise, since idle slots cost more
+         * than short waits.
+         */
+        const val LIMIT_TOLERANCE = 0.15
 
-        /** The members that are about as busy as this one may probe at the same time. */
+        /** Only the busiest member probes the limit; one that runs at most this much less counts as busiest too. */
         const val BUSIEST_MARGIN = 0.3
     }
 }
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LimitSearch.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LimitSearch.kt
@@ -13,7 +13,7 @@
  */
 internal class LimitSearch(private val slots: Int) {
     private var queueingWindows = 0
-    private var step = 1.0
+    private var probeStep = 1.0
     private var nextProbeAtMillis = Long.MIN_VALUE
     private var probe = 0.0
 
@@ -39,55 +39,69 @@
      *
      * @param running the mean number of statements that ran, of all members
      * @param loadRatio how many times longer their answers took than at the unloaded target
-     * @param isProbing true when this member may probe a limit that is used in full
+     * @param mayProbe true when this member may probe a limit that is used in full
      */
-    fun onWindow(running: Double, loadRatio: Double, isProbing: Boolean, nowMillis: Long) {
+    fun onWindow(running: Double, loadRatio: Double, mayProbe: Boolean, nowMillis: Long) {
         val isQueueing = loadRatio > queueingRatio() && running >= maxOf(1.0, limit * LOADED_FRACTION)
         queueingWindows = if (isQueueing) queueingWindows + 1 else 0
         when {
-            queueingWindows >= CONFIRMING_WINDOWS -> endProbe(running / loadRatio, nowMillis)
+            queueingWindows >= CONFIRMING_WINDOWS -> onQueueing(running / loadRatio, nowMillis)
             isQueueing -> Unit
-            probe > 0 -> keepProbe(running)
-            running > limit + UNUSED_PART -> limit = minOf(slots.toDouble(), running)
-            isProbing && nowMillis >= nextProbeAtMillis && limit < slots -> probe = step
+            probe > 0 -> onProbed(running)
+            running > limit + USE_TOLERANCE -> limit = minOf(slots.toDouble(), running)
+            mayProbe && nowMillis >= nextProbeAtMillis && limit < slots -> probe = probeStep
         }
     }
 
-    private fun endProbe(measured: Double, nowMillis: Long) {
+    private fun onQueueing(measured: Double, nowMillis: Long) {
         val weight = if (probe > 0) 1.0 else MEASURED_WEIGHT
         limit = (limit + (measured - limit) * weight).coerceIn(1.0, slots.toDouble())
         probe = 0.0
         queueingWindows = 0
-        step = 1.0
+        probeStep = 1.0
         nextProbeAtMillis = nowMillis + PROBE_PAUSE_MILLIS
     }
 
-    /** Accepts the probe if it was used; it proves nothing otherwise. */
-    private fun keepProbe(running: Double) {
-        if (running > limit - UNUSED_PART) {
+    /** Ends a probe during which nothing queued. Its limit is kept only if the limit was used. */
+    private fun onProbed(running: Double) {
+        if (running > limit - USE_TOLERANCE) {
             limit = probedLimit
-            step *= 2
+            probeStep *= 2
         }
         probe = 0.0
     }
 
-    /** Above the noise of a window's mean, and below the ratio that one statement more than the limit causes. */
+    /** The load ratio above which statements queue: above the noise, and below what one statement too many causes. */
     private fun queueingRatio(): Double = 1 + maxOf(MIN_QUEUEING, ONE_STATEMENT_PART / limit)
 
     private companion object {
         const val INITIAL_LIMIT = 1.0
 
-        /** Differences between members come from the noise of their windows, and shrink to a third in about a second. */
+        /**
+         * The weight of the peers' mean limit. Differences between members come from the noise of their windows, and
+         * shrink to a third in about a second.
+         */
         const val PEER_WEIGHT = 0.2
+
+        /** Answers that are slow while less than this part of the limit runs are no sign of queueing. */
         const val LOADED_FRACTION = 0.5
+
+        /** The least excess of the load ratio over 1 that counts as queueing. */
         const val MIN_QUEUEING = 0.12
+
+        /** The excess that counts as queueing, as a part of the one that a single statement above the limit causes. */
         const val ONE_STATEMENT_PART = 0.6
+
+        /** The weight of a measured limit outside a probe. */
         const val MEASURED_WEIGHT = 0.7
-        const val UNUSED_PART = 0.5
+
+        /** A difference up to this between the mean running count and the limit is taken for noise. */
+        const val USE_TOLERANCE = 0.5
 
         /**
-         * The first window with queueing may have begun before the load did, so that its mean is too low. Two windows are
-         * also longer than a heartbeat, so that reports from before the last change of the limit do not change it again.
+         * The first window with queueing may have begun before the load did, so that its mean is too low. Two windows
+         * are also longer than a heartbeat, so that reports from before the last change of the limit do not change it
+         * again.
          */
         const val CONFIRMING_WINDOWS = 2
 
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LoadEvidence.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/LoadEvidence.kt
@@ -3,8 +3,8 @@
 /**
  * The load of one target over some time, as all members together measured it.
  *
- * The answers are kept apart by the zone of the member, because a slow network path makes the target look loaded only to
- * the callers of one zone: the target itself is as loaded as the zone with the lowest ratio shows.
+ * The answers are kept apart by the zone of the member, because a slow network path makes the target look loaded only
+ * to the callers of one zone: the target itself is as loaded as the zone with the lowest ratio shows.
  */
 internal class LoadEvidence {
     private class Sums(var answered: Double = 0.0, var tookMillis: Double = 0.0, var workMillis: Double = 0.0)
@@ -37,8 +37,8 @@
         for ((zone, members) in samples) {
             val sums = sumsByZone.getOrPut(zone) { Sums() }
             sums.answered += members.sumOf { it.answeredPerSecond } * seconds
-            sums.tookMillis += members.sumOf { it.tookPerSecond } * seconds
-            sums.workMillis += members.sumOf { it.workPerSecond } * seconds
+            sums.tookMillis += members.sumOf { it.tookMillisPerSecond } * seconds
+            sums.workMillis += members.sumOf { it.workMillisPerSecond } * seconds
             runningMillis += members.sumOf { it.running } * windowMillis
         }
     }
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/UnloadedTime.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/capacity/UnloadedTime.kt
@@ -3,10 +3,11 @@
 import kotlin.math.pow
 
 /**
- * The time that one kind of work takes at a target without queueing, as one member measures it, the round trip included.
+ * The time that one kind of work takes at a target without queueing, as one member measures it. It includes the round
+ * trip.
  *
- * In windows with little load it follows the mean of the answers. In windows with load it only moves down, since queueing
- * makes answers longer and never shorter.
+ * In windows with little load it follows the mean of the answers. In windows with load it only moves down, since
+ * queueing makes answers longer and never shorter.
  */
 internal class UnloadedTime {
     private var count = 0
@@ -54,10 +55,10 @@
         if (millis.isNaN()) start(meanMillis, loadRatio)
         val workMillis = count * millis
         when {
-            isUnloaded -> millis += (meanMillis - millis) * weight(FOLLOW)
-            meanMillis < millis -> millis += (meanMillis - millis) * weight(LOWER)
+            isUnloaded -> millis += (meanMillis - millis) * weight(UNLOADED_WEIGHT)
+            meanMillis < millis -> millis += (meanMillis - millis) * weight(LOADED_WEIGHT)
         }
-        currentMillis += (meanMillis - currentMillis) * weight(CURRENT)
+        currentMillis += (meanMillis - currentMillis) * weight(CURRENT_WEIGHT)
         lowestMillis = minOf(millis, lowestMillis + (millis - lowestMillis) * LOWEST_DRIFT)
         answeredAtMillis = nowMillis
         count = 0
@@ -75,13 +76,22 @@
     private fun weight(full: Double): Double = full * minOf(1.0, count / FULL_WEIGHT_COUNT)
 
     private companion object {
-        const val FOLLOW = 0.2
-        const val LOWER = 0.3
-        const val CURRENT = 0.7
+        /** The weight of the newest window with little load in the estimate. */
+        const val UNLOADED_WEIGHT = 0.2
+
+        /** The weight of the newest window with load, which only lowers the estimate. */
+        const val LOADED_WEIGHT = 0.3
+
+        /** The weight of the newest window in the moving mean. */
+        const val CURRENT_WEIGHT = 0.7
+
+        /** The part of its distance to the estimate by which the lowest estimate rises in each window. */
         const val LOWEST_DRIFT = 0.01
 
-        /** How long an answer counts as recent, and how fast a target that was slow is assumed to have recovered. */
+        /** How long the moving mean counts in full after an answer. */
         const val RECENT_MILLIS = 400L
+
+        /** How fast a target without answers is assumed to return to the lowest estimate after that. */
         const val IDLE_HALF_LIFE_MILLIS = 700.0
 
         /** From this number of answers on, a window has its full weight. */
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/PriorityAdmission.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/PriorityAdmission.kt
@@ -17,12 +17,12 @@
  */
 public class PriorityAdmission {
     private val classes = TreeMap<Int, PriorityClass>()
-    private var firstRequestMillis: Long? = null
+    private var firstRequestAtMillis: Long? = null
     private var refusedCount = 0L
 
     /** Decides on a request of [priority], lower numbers being more urgent, with what this host can spend now. */
     public fun decide(priority: Int, budget: TokenBudget, nowMillis: Long): Admission {
-        if (firstRequestMillis == null) firstRequestMillis = nowMillis
+        if (firstRequestAtMillis == null) firstRequestAtMillis = nowMillis
         val own = classes.getOrPut(priority) { PriorityClass() }
         val partPerSecond = partPerSecond(priority, budget, nowMillis)
         own.demand.add(1, timeConstantMillis(budget), nowMillis)
@@ -52,11 +52,11 @@
     }
 
     /**
-     * The tokens a second that [priority] may use: what more urgent ones leave, less the part kept for less urgent ones,
-     * and its own part at least. Null while every request is admitted.
+     * The tokens a second that [priority] may use: what more urgent ones leave, less what is kept for less urgent ones,
+     * but at least its own floor. Null while every request is admitted.
      */
     private fun partPerSecond(priority: Int, budget: TokenBudget, nowMillis: Long): Double? {
-        val sinceMillis = firstRequestMillis ?: return null
+        val sinceMillis = firstRequestAtMillis ?: return null
         if (nowMillis - sinceMillis < HISTORY_MILLIS) return null
         val timeConstantMillis = timeConstantMillis(budget)
         val demands = classes.mapValues { (_, each) -> each.demand.perSecond(timeConstantMillis, nowMillis) }
@@ -80,8 +80,7 @@
             .coerceIn(budget.ratePerSecond * MIN_SPEND_FRACTION, budget.ratePerSecond * MAX_SPEND_FRACTION)
     }
 
-    /** Spread over a second interval of [HISTORY_MILLIS], so that refused callers do not return all at once. */
-    private fun retryAfterMillis(): Long = HISTORY_MILLIS + refusedCount++ * RETRY_STEP_MILLIS % HISTORY_MILLIS
+    private fun retryAfterMillis(): Long = RetrySpread.afterMillis(HISTORY_MILLIS, refusedCount++)
 
     private fun timeConstantMillis(budget: TokenBudget): Double =
         (SMOOTHED_TOKENS * MILLIS_PER_SECOND / maxOf(budget.ratePerSecond, 1.0))
@@ -144,8 +143,6 @@
         /** How long unused credit is kept, so that the chance variation of a demand below its part costs nothing. */
         private const val CREDIT_MILLIS = 500L
 
-        /** Shares no divisor with [HISTORY_MILLIS], so that successive retry times are far apart. */
-        private const val RETRY_STEP_MILLIS = 113L
         private const val MILLIS_PER_SECOND = 1_000.0
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/CustomerLimits.kt
@@ -46,6 +46,7 @@
                 return it
             }
         }
+        // With urgency the demand of this request has been counted above.
         val admission = if (isRepeated || urgency != null) {
             shares.admitAgain(customer.id, allowance, fleet.size, nowMillis)
         } else {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/RateByUrgency.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/RateByUrgency.kt
@@ -28,15 +28,14 @@
         if (admission !is Admission.Refused) return null
         refusedCount++
         state.refusedByPriority.merge(priority, 1, Int::plus)
-        if (state.loggedAtMillis == null || nowMillis - checkNotNull(state.loggedAtMillis) >= LOG_INTERVAL_MILLIS) {
-            logRefusals(customer, state, budget, nowMillis)
-        }
+        val isLogDue = state.loggedAtMillis?.let { nowMillis - it >= LOG_INTERVAL_MILLIS } ?: true
+        if (isLogDue) logRefusals(customer, state, budget, nowMillis)
         return admission
     }
 
     /**
-     * The fraction of the operations of [priority] that other hosts should send. A bit more than is admitted, so that
-     * hosts that each leave out a part of few operations waste no tokens.
+     * The fraction of the operations of [priority] that other hosts should send. Slightly more than is admitted, so
+     * that hosts that each leave out a part of few operations waste no tokens.
      */
     fun sendFraction(customer: CustomerId, priority: Int, nowMillis: Long): Double {
         val state = customers[customer] ?: return 1.0
@@ -78,7 +77,7 @@
         /** How many more operations than are admitted should be sent, as a factor. */
         const val SEND_MARGIN = 1.25
 
-        /** A customer over its rate has a decision much more often than this. */
+        /** An older budget is ignored: for a customer over its rate decisions are much more frequent than this. */
         const val MAX_BUDGET_AGE_MILLIS = 250L
 
         /** The least time between two log lines about one customer. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/CapacityReport.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/CapacityReport.kt
@@ -19,8 +19,8 @@
     val runningTenths: Int,
     val answeredPerSecond: Int,
     val failedPerSecond: Int,
-    val tookPerSecond: Int,
-    val workPerSecond: Int,
+    val tookMillisPerSecond: Int,
+    val workMillisPerSecond: Int,
     val limitTenths: Int,
 ) {
     /** The values of the report. */
@@ -28,8 +28,8 @@
         running = runningTenths / TENTHS,
         answeredPerSecond = answeredPerSecond.toDouble(),
         failedPerSecond = failedPerSecond.toDouble(),
-        tookPerSecond = tookPerSecond.toDouble(),
-        workPerSecond = workPerSecond.toDouble(),
+        tookMillisPerSecond = tookMillisPerSecond.toDouble(),
+        workMillisPerSecond = workMillisPerSecond.toDouble(),
         limit = limitTenths / TENTHS,
     )
 
@@ -42,8 +42,8 @@
             runningTenths = (sample.running * TENTHS).roundToInt(),
             answeredPerSecond = sample.answeredPerSecond.roundToInt(),
             failedPerSecond = sample.failedPerSecond.roundToInt(),
-            tookPerSecond = sample.tookPerSecond.roundToInt(),
-            workPerSecond = sample.workPerSecond.roundToInt(),
+            tookMillisPerSecond = sample.tookMillisPerSecond.roundToInt(),
+            workMillisPerSecond = sample.workMillisPerSecond.roundToInt(),
             limitTenths = (sample.limit * TENTHS).roundToInt(),
         )
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/HeartbeatEncoder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/HeartbeatEncoder.kt
@@ -14,30 +14,30 @@
  */
 internal class HeartbeatEncoder(private val compression: HeartbeatCompression) {
     /** The encoded heartbeats by the time at which they were sent; null where several were sent at one time. */
-    private val sentBytes = LinkedHashMap<Long, ByteArray?>()
+    private val bytesBySentAtMillis = LinkedHashMap<Long, ByteArray?>()
     private var acknowledgedSentAtMillis = CompressedHeartbeat.NO_BASE
-    private var isReadable = false
+    private var isPeerReading = false
 
     /** Records that the peer reads compressed heartbeats. */
-    fun onReadable() {
-        isReadable = true
+    fun onPeerReads() {
+        isPeerReading = true
     }
 
     /** Records that the heartbeat sent at [sentAtMillis] is the newest that the peer has; negative if it has none. */
     fun onAcknowledged(sentAtMillis: Long) {
         acknowledgedSentAtMillis = sentAtMillis
-        sentBytes.keys.removeIf { it < sentAtMillis }
+        bytesBySentAtMillis.keys.removeIf { it < sentAtMillis }
     }
 
     /** Sends plain heartbeats from now on, since the peer has restarted, maybe with an earlier build. */
     fun onRestarted() {
-        isReadable = false
+        isPeerReading = false
         onAcknowledged(CompressedHeartbeat.NO_BASE)
     }
 
     /** Returns the datagram from the [incarnation] of the host [from] that carries [heartbeat]. */
     fun encode(from: String, incarnation: Long, heartbeat: Heartbeat): PeerMessage {
-        val compressed = if (isReadable) compress(heartbeat) else null
+        val compressed = if (isPeerReading) compress(heartbeat) else null
         if (compressed != null) return PeerMessage(from, incarnation, compressed = compressed)
         return PeerMessage(from, incarnation, heartbeat, readsCompressed = true)
     }
@@ -45,10 +45,10 @@
     private fun compress(heartbeat: Heartbeat): CompressedHeartbeat? {
         val sentAtMillis = heartbeat.sentAtMillis
         val bytes = messages.encode(heartbeat)
-        sentBytes.keys.removeIf { it < sentAtMillis - MAX_BASE_AGE_MILLIS }
-        val base = sentBytes[acknowledgedSentAtMillis]
+        bytesBySentAtMillis.keys.removeIf { it < sentAtMillis - MAX_BASE_AGE_MILLIS }
+        val base = bytesBySentAtMillis[acknowledgedSentAtMillis]
         val compressed = compression.compress(bytes, base) ?: return null
-        sentBytes[sentAtMillis] = bytes.takeIf { sentAtMillis !in sentBytes }
+        bytesBySentAtMillis[sentAtMillis] = bytes.takeIf { sentAtMillis !in bytesBySentAtMillis }
         val baseSentAtMillis = if (base == null) CompressedHeartbeat.NO_BASE else acknowledgedSentAtMillis
         return CompressedHeartbeat(sentAtMillis, baseSentAtMillis, compressed)
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
@@ -34,7 +34,7 @@
 
     /** Returns the heartbeat that [message] carries, or null when it carries none that can be decoded here. */
     internal fun decode(message: PeerMessage): Heartbeat? {
-        if (message.readsCompressed || message.compressed != null) encoder.onReadable()
+        if (message.readsCompressed || message.compressed != null) encoder.onPeerReads()
         return message.heartbeat ?: message.compressed?.let(decoder::decode)
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -12,7 +12,8 @@
  * @property compressed a heartbeat for a host that reads this form; earlier builds ignore it
  * @property readsCompressed true when the sender reads compressed heartbeats; one that sends them does in any case
  * @property capacities what the sender of a heartbeat measured at the targets; hosts of earlier builds ignore it
- * @property drains the newest drains that the sender knows; null from a host that drains no zones or is of an older build
+ * @property drains the newest drains that the sender knows; null from a host that drains no zones, or from an older
+ *   build
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ReplacementTrigger.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ReplacementTrigger.kt
@@ -28,8 +28,7 @@
         val primary = group.primary ?: return unlistedReason(nowMillis)
         unlistedSinceMillis = null
         if (group.targets.none { it !== primary && isEligible(it) }) return null
-        return drainingReason(primary, nowMillis, mayPlan) ?: zoneReason(primary, nowMillis, mayPlan)
-            ?: unreachableReason(primary, nowMillis)
+        return drainingReason(primary, nowMillis, mayPlan) ?: unreachableReason(primary, nowMillis)
             ?: outOfReachReason(primary, nowMillis, mayPlan) ?: lostRoleReason(primary)
     }
 
@@ -51,23 +50,13 @@
     }
 
     private fun drainingReason(primary: Target, nowMillis: Long, mayPlan: Boolean): ReplacementReason? {
-        if (!mayPlan || !primary.entry.isDraining || primary.unreachableSinceMillis != null) return null
-        return ReplacementReason(
-            "primary is leaving",
-            isPlanned = true,
-            sinceMillis = nowMillis,
-            minDurationMillis = 0,
-        )
-    }
-
-    private fun zoneReason(primary: Target, nowMillis: Long, mayPlan: Boolean): ReplacementReason? {
-        if (!mayPlan || !primary.zoneGate.isDraining || primary.unreachableSinceMillis != null) return null
-        return ReplacementReason(
-            "primary is in a draining zone",
-            isPlanned = true,
-            sinceMillis = nowMillis,
-            minDurationMillis = 0,
-        )
+        if (!mayPlan || primary.unreachableSinceMillis != null) return null
+        val text = when {
+            primary.entry.isDraining -> "primary is leaving"
+            primary.zoneGate.isDraining -> "primary is in a draining zone"
+            else -> return null
+        }
+        return ReplacementReason(text, isPlanned = true, sinceMillis = nowMillis, minDurationMillis = 0)
     }
 
     private fun unreachableReason(primary: Target, nowMillis: Long): ReplacementReason? {
@@ -110,7 +99,7 @@
     fun unreachableCount(target: Target, nowMillis: Long): Int =
         fleet.alivePeers(nowMillis).count { target.entry.id.value in unreachableTargets(it) }
 
-    /** True when [target] may become primary: it is listed, neither it nor its zone is draining, and this host reaches it. */
+    /** True when [target] may become primary. */
     fun isEligible(target: Target): Boolean = target.isEligible
 
     private fun unreachableTargets(peer: Peer): List<String> =
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -346,7 +346,7 @@
         /** After a takeover was given up a primary that still answers is not replaced for this time. */
         const val GIVEN_UP_PAUSE_MILLIS = 4_000L
 
-        /** [GIVEN_UP_PAUSE_MILLIS] for a primary in a draining zone, which runs nothing that a new attempt would stop. */
+        /** The same for a primary in a draining zone, which runs nothing that a new attempt would stop. */
         const val ZONE_GIVEN_UP_PAUSE_MILLIS = 500L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
@@ -68,7 +68,7 @@
     }
 
     companion object {
-        /** How long a hint holds. Hosts with few operations gain most; an answer without a hint ends it sooner. */
+        /** How long a hint holds; hosts with few operations use it too. An answer without a hint ends it sooner. */
         const val HINT_MILLIS = 500
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardingHints.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardingHints.kt
@@ -1,5 +1,7 @@
 package dev.cardamomlane.engine.forward
 
+import dev.cardamomlane.core.limits.RetrySpread
+
 /**
  * The hints of members about customers that are over their rates, by customer and priority, on a host that forwards
  * operations. Decides which operations are sent, and counts the others, so that the member learns the whole demand.
@@ -43,7 +45,7 @@
         entry.refusedCount++
         entry.refusedAtMillis = nowMillis
         refusedCount++
-        return RETRY_MILLIS + refusedCount * RETRY_STEP_MILLIS % RETRY_MILLIS
+        return RetrySpread.afterMillis(RETRY_MILLIS, refusedCount)
     }
 
     /** How many operations were refused since the last call; 0 when that is so long ago that it is no demand now. */
@@ -73,10 +75,7 @@
         /** The longest time that a hint holds. */
         const val MAX_HOLD_MILLIS = 500
 
-        /** Members decide by about this much of recent demand, so that an earlier attempt has the same result. */
+        /** Members decide by about this much of recent demand, so an earlier attempt would be refused too. */
         private const val RETRY_MILLIS = 300L
-
-        /** Shares no divisor with [RETRY_MILLIS], so that the retry times of successive refusals are far apart. */
-        private const val RETRY_STEP_MILLIS = 113L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/CapacityLog.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/CapacityLog.kt
@@ -17,9 +17,10 @@
     }
 
     override fun onUse(isInUse: Boolean, failureRate: Double) {
+        val event = if (isInUse) "back_in_use" else "out_of_use"
         log.event(
             "capacity",
-            if (isInUse) "back_in_use" else "out_of_use",
+            event,
             "target",
             target.value,
             "group",
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -21,7 +21,8 @@
  * Not safe for use by several threads.
  *
  * @param zone this host's availability zone; targets in it are preferred
- * @param learnsCapacity true when the concurrency of each target is learned, see `core/capacity`
+ * @param learnsCapacity true when the concurrency of each target is learned, by
+ *   [dev.cardamomlane.core.capacity.LearnedCapacity]
  */
 public class DatabaseGroup(
     public val id: DatabaseId,
@@ -146,8 +147,8 @@
     }
 
     /**
-     * True when statements may be sent to targets as far as drains are concerned: proof shows that this host was in
-     * contact with the others lately, and so knows of every drain whose bound may be over.
+     * True when this host knows of every drain whose bound may be over, so that it may send statements to targets: its
+     * proof shows that it was in contact with the others recently.
      */
     private fun knowsDrains(nowMillis: Long): Boolean = !rules.isOn || records.isCurrent(nowMillis)
 
@@ -197,26 +198,26 @@
         if (candidates.isEmpty()) return
         val choice = if (learnsCapacity) ReadChoice(work.kind, candidates, nowMillis) else null
         val usable = choice?.usable ?: candidates
-        val cost: (Target) -> Double = { target -> choice?.let { learnedCost(it, target) } ?: cost(target) }
+        val costOf: (Target) -> Double = { target -> choice?.let { learnedCost(it, target) } ?: cost(target) }
         val ready = usable.mapNotNull { target -> target.idle(work.customerName, work.state)?.let { target to it } }
             .filter { (target, _) -> target.hasSlot() }
-            .minByOrNull { (target, connection) -> cost(target) + connection.setupCost(work.state) }
+            .minByOrNull { (target, connection) -> costOf(target) + connection.setupCost(work.state) }
         if (ready != null) {
             val (target, connection) = ready
             target.take(connection)
             queue.remove(work)
             val isAtPrimary = target === primary && placement is Placement.Primary
-            if (!isAtPrimary && target === primary) dialReplica(work, usable, cost)
+            if (!isAtPrimary && target === primary) dialReplica(work, usable, costOf)
             work.run(target, connection, if (isAtPrimary) null else (placement as Placement.AnyAtPosition).position)
         } else if (nowMillis - work.dialedAtMillis > DIAL_INTERVAL_MILLIS) {
-            val target = usable.filter { it.hasSlot() }.minByOrNull(cost) ?: return
+            val target = usable.filter { it.hasSlot() }.minByOrNull(costOf) ?: return
             if (target.dial(work.customerName)) work.dialedAtMillis = nowMillis
         }
     }
 
     /** Opens a connection to a replica after a read went to the primary only because it had an idle connection. */
-    private fun dialReplica(work: Work, usable: List<Target>, cost: (Target) -> Double) {
-        val replica = usable.filter { it !== primary && it.connectionCount < it.connectionShare }.minByOrNull(cost)
+    private fun dialReplica(work: Work, usable: List<Target>, costOf: (Target) -> Double) {
+        val replica = usable.filter { it !== primary && it.connectionCount < it.connectionShare }.minByOrNull(costOf)
         if (replica != null && replica.dialingCount(work.customerName) == 0) replica.dial(work.customerName)
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
@@ -48,6 +48,7 @@
      * Replaces the list of targets by [entries]. A target that is missing gets no new work, and is dropped later.
      *
      * @param connectionShare the most connections that this host opens to each target
+     * @param rules what drains of zones and the warm-up of targets ask for
      */
     fun update(entries: Collection<TargetEntry>, connectionShare: Int, rules: ZoneRules) {
         val nowMillis = timers.nowMillis()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -131,13 +131,17 @@
             }
         }
 
-        /** Counts the answer as missing, and closes the connection if it is still missing when it is of no use. */
+        /**
+         * Counts a failure of the target, and closes the connection if the answer has not arrived by the route's
+         * timeout, so that the attempt does not hold its slot for good.
+         */
         private fun onOverdue() {
             if (!services.features.learnsCapacity) return
             target.failed()
             services.timers.after(route.timeoutMillis) { discard() }
         }
 
+        /** False when the statement failed in a way that the target may have caused. */
         private fun isServed(answer: TargetAnswer): Boolean = answer.error?.code != ErrorCode.FAILED
 
         private fun onAnswer(answer: TargetAnswer?) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -127,7 +127,7 @@
         }
     }
 
-    /** [tookMillis] is null for a statement that is not measured. */
+    /** How a statement with [answer] ended; [tookMillis] is null for one whose time is not measured. */
     private fun endOf(answer: TargetAnswer?, tookMillis: Double?): StatementEnd = when {
         answer == null -> if (isFinished) StatementEnd.Unmeasured else StatementEnd.Lost
         answer.error?.code == ErrorCode.BUSY && tookMillis == null -> StatementEnd.Refused
@@ -168,7 +168,7 @@
         val sentAtMillis = services.timers.nowMillis()
         val statement = step.statement
         val kind = when {
-            statement == null -> if (hasWritten) COMMIT else END
+            statement == null -> if (hasWritten) COMMIT else COMMIT_WITHOUT_WRITES
             else -> WorkKind(route.name, isWrite = statement.access == Access.WRITE)
         }
         target.started(kind)
@@ -276,10 +276,10 @@
         /** How long a target is left out after it refused to begin the transaction. */
         const val BEGIN_REFUSED_AVOID_MILLIS = 30L
 
-        /** The kinds of the statements that belong to no route. The end of a transaction without writes is quick. */
+        /** The kinds of the statements that belong to no route. The commit of a transaction without writes is quick. */
         val BEGIN = WorkKind("BEGIN", isWrite = false)
         val COMMIT = WorkKind("COMMIT", isWrite = true)
-        val END = WorkKind("COMMIT", isWrite = false)
+        val COMMIT_WITHOUT_WRITES = WorkKind("COMMIT", isWrite = false)
 
         /** Errors that the target may have caused. */
         val TARGET_FAILURES = setOf(ErrorCode.FAILED, ErrorCode.BUSY)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -77,11 +77,11 @@
     /** The number of connections that are open or being opened. */
     internal val connectionCount: Int get() = connections.size
 
-    /** Whether drains of its zone and its warm-up let it take work. */
+    /** Decides by the drains of its zone and by its warm-up whether the target may take work. */
     internal val zoneGate = ZoneGate(timers)
     private var isWakeUpScheduled = false
 
-    /** True when it is listed, neither it nor its zone is draining, and this host reaches it. */
+    /** True when the target is listed, neither it nor its zone is draining, and this host reaches it. */
     internal val isEligible: Boolean
         get() = !entry.isDraining && !zoneGate.isDraining && goneAtMillis == null && unreachableSinceMillis == null
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/zone/KnownDrains.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/zone/KnownDrains.kt
@@ -17,6 +17,7 @@
     private val zonesOfTargets: () -> Set<String>,
     private val onChange: () -> Unit,
 ) {
+    /** The newest drains; [ZoneDrains.UNKNOWN] until some are known, and while the feature is off. */
     var newest: ZoneDrains = ZoneDrains.UNKNOWN
         private set
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/zone/ZoneDrains.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/zone/ZoneDrains.kt
@@ -8,8 +8,8 @@
 /**
  * The availability zones that operators have asked to drain, as of one position of the store.
  *
- * Copies are ordered by [position]. After the store was restored the older rows of its new epoch count, since operators
- * read the same rows.
+ * Copies are ordered by [position]. After the store was restored, the rows of its new epoch count even if they are
+ * older, since operators read the same rows.
  *
  * @property position where the store stood when the rows were read; [StorePosition.START] before the first read
  * @property zones their names, sorted and without duplicates
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/zone/ZoneGate.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/zone/ZoneGate.kt
@@ -6,8 +6,8 @@
 /**
  * Whether one target may be sent statements, as far as drains of its zone and its warm-up decide.
  *
- * Statements to a target that warms up are spaced evenly, so that in any second a member sends at most one more than its
- * share. With nine members that stays within the tolerance for members that disagree about their number.
+ * Statements to a target that warms up are spaced evenly, so that in any second a member sends at most one more than
+ * its share. With nine members that stays within the tolerance for members that disagree about their number.
  *
  * Not safe for use by several threads.
  */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/zone/ZoneRules.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/zone/ZoneRules.kt
@@ -1,7 +1,7 @@
 package dev.cardamomlane.engine.zone
 
 /**
- * What a database group must keep to because of its targets' zones and of its warm-up.
+ * The limits that drains of zones and the warm-up of targets put on one database group.
  *
  * @property isOn false when the feature is off; then the other properties have no effect
  * @property drainingZones the zones whose targets take no new work
