engine: a transaction whose begin gets no answer gives back its slot

Cause: on a timeout or a rollback by the caller while the begin or the session setup before it was unanswered, nothing closed the connection, as it was not pinned yet. If the answer was lost, the call of started() never met its finished(), and slot and connection stayed in use for good. With a learned share of 1 the target then has no room for this member.

Change: the transaction remembers the connection on which it begins, and closes it on timeout and rollback. A timeout counts as a lost answer; a rollback during setup no longer counts as a failure of the target. This holds with all features off too.

Result: the new test in CallerSessionTest failed before (timeout case: 1 statement still running; the rollback case was not reached) and passes now, as do the other tests of CallerSessionTest and LearnedRoutingTest. Other test classes were not run.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -36,6 +36,9 @@
     InFlightWrite {
     private var pinned: PooledConnection? = null
     private var pinnedTarget: Target? = null
+
+    /** The connection on which the transaction is being begun, or null before and after that. */
+    private var starting: PooledConnection? = null
     private var queued: Work? = null
     private var currentStep: Step? = null
     private var timer: TimerSubscription? = null
@@ -64,6 +67,7 @@
         group.writes.ended(this)
         queued?.end()
         timer?.cancel()
+        starting?.close()
         val connection = pinned ?: return
         pinned = null
         if (currentStep != null || connection.oldestSentMillis != null) return connection.close()
@@ -94,6 +98,7 @@
         val step = currentStep
         if (isFinished || step == null) return connection.release()
         target.started(BEGIN)
+        starting = connection
         connection.prepareFor(work.state) { isPrepared ->
             when {
                 isFinished || !isPrepared -> onStartFailed(target, connection, work)
@@ -106,10 +111,12 @@
         val isPrimaryLost = after == null && !group.isPrimaryUsable()
         if (isPrimaryLost || !group.mayStart(target)) {
             target.finished(BEGIN, StatementEnd.Unmeasured)
+            starting = null
             connection.release()
             return group.resubmit(work)
         }
         connection.execute(TargetStatement.Begin(isReadOnly, after)) { answer ->
+            starting = null
             target.finished(BEGIN, endOf(answer, tookMillis = null))
             when {
                 answer == null -> onStartFailed(target, connection, work, isCounted = false)
@@ -140,7 +147,8 @@
     }
 
     private fun onStartFailed(target: Target, connection: PooledConnection, work: Work, isCounted: Boolean = true) {
-        if (isCounted) target.finished(BEGIN, StatementEnd.Lost)
+        starting = null
+        if (isCounted) target.finished(BEGIN, endOf(answer = null, tookMillis = null))
         connection.close()
         if (!isFinished) group.resubmit(work)
     }
@@ -244,6 +252,7 @@
     private fun onTimeout() {
         if (currentStep == null) return
         queued?.end()
+        starting?.close()
         group.writes.resolved(this)
         when {
             isCommitSent -> onConnectionLost()
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.session
 
+import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.engine.FakeCaller
 import dev.cardamomlane.engine.HostFixture
 import dev.cardamomlane.engine.statement.Access
@@ -325,6 +326,26 @@
         assertEquals(ErrorCode.BUSY, caller.refusal?.code)
     }
 
+    /** Guards against a slot and a connection that stay in use for good after the answer to BEGIN was lost. */
+    @Test
+    fun `a transaction that ends before the answer to its begin gives back its slot`() {
+        val target = fixture.hosts[0].group(DatabaseId("g"))!!.targets.first { it.entry.id.value == "p" }
+        for (isRolledBack in listOf(false, true)) {
+            val session = fixture.open(caller)
+            fixture.ask(session, caller, write)
+            fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+            primary.isSilent = true
+            fixture.ask(session, caller, read, millis = 20)
+            primary.isSilent = false
+            assertEquals(1, target.runningCount)
+            if (isRolledBack) session.onClosed()
+
+            fixture.timers.advance(1_500)
+
+            assertEquals(0, target.runningCount, "isRolledBack: $isRolledBack")
+        }
+    }
+
     @Test
     fun `a transaction that is idle for too long is rolled back`() {
         val session = fixture.open(caller)
