engine: a read without an answer counts as one failure of its target

Cause: an overdue read counted as a failure when it was hedged, and again as lost when its connection broke or the read timed out. Two failures of a quiet target are enough to take it out of use, so a single read was.

Change: an attempt that was counted as overdue is not counted again when it is lost.

Result: the new test in LearnedRoutingTest failed before (out_of_use r1) and passes now, as do the other tests of LearnedRoutingTest and CallerSessionTest. Other test classes were not run.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -92,6 +92,7 @@
     ) : InFlightWrite {
         private val startedAtMillis = services.timers.nowMillis()
         private var isComplete = false
+        private var isCountedAsOverdue = false
         var isSent = false
             private set
 
@@ -134,6 +135,7 @@
         /** Counts the answer as missing, and closes the connection if it is still missing when it is of no use. */
         private fun onOverdue() {
             if (!services.features.learnsCapacity) return
+            isCountedAsOverdue = true
             target.failed()
             services.timers.after(route.timeoutMillis) { discard() }
         }
@@ -204,7 +206,8 @@
             isComplete = true
             attempts.remove(this)
             group.writes.resolved(this)
-            target.finished(kind, end)
+            val isCounted = isCountedAsOverdue && end == StatementEnd.Lost
+            target.finished(kind, if (isCounted) StatementEnd.Unmeasured else end)
         }
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/LearnedRoutingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/LearnedRoutingTest.kt
@@ -8,6 +8,7 @@
 import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.Statement
+import dev.cardamomlane.engine.statement.TargetStatement
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -120,6 +121,28 @@
         assertTrue(answers.all { it == null }, "$answers")
     }
 
+    /** Guards against one missing answer that counts twice: as overdue, and again when its connection breaks. */
+    @Test
+    fun `one read without an answer does not take its target out of use`() {
+        warmUp()
+        fixture.timers.advance(8_000)
+        readFor(60)
+        for (id in listOf("p", "r1", "r2")) target(id).isSilent = true
+        sessions[0].onStatement("lost", Statement.Run(Access.READ, "READ 9"))
+        fixture.timers.advance(20)
+        for (id in listOf("p", "r1", "r2")) target(id).isSilent = false
+        val link = fixture.targets.links.single { link ->
+            link.sent.any { it is TargetStatement.Run && it.text == "READ 9" }
+        }
+        fixture.timers.advance(230)
+        assertNull(callers[0].answers.last().error)
+        assertTrue(sessions[0].isIdle)
+
+        link.disconnect()
+
+        assertTrue(events.none { it.startsWith("out_of_use") }, "$events")
+    }
+
     @Test
     fun `a replica that becomes eight times slower gets few reads after 1 s`() {
         warmUp()
