--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -92,6 +92,7 @@
     ) : InFlightWrite {
         private val startedAtMillis = services.timers.nowMillis()
         private var isComplete = false
+        private var isCountedAsOverdue = false
         var isSent = false
             private set
 
@@ -137,6 +138,7 @@
          */
         private fun onOverdue() {
             if (!services.features.learnsCapacity) return
+            isCountedAsOverdue = true
             target.failed()
             services.timers.after(route.timeoutMillis) { discard() }
         }
@@ -208,7 +210,8 @@
             isComplete = true
             attempts.remove(this)
             group.writes.resolved(this)
-            target.finished(kind, end)
+            val isCounted = isCountedAsOverdue && end == StatementEnd.Lost
+            target.finished(kind, if (isCounted) StatementEnd.Unmeasured else end)
         }
     }
 
