engine tests: the previous build's datagram stands once

CompressedHeartbeatTest and PeerCodecTest each declared the same message of the build before. Both use one declaration now; assertions are unchanged. Formatter, linter and these two classes (14 tests) are green; the whole script was not run on this commit.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/CompressedHeartbeatTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/CompressedHeartbeatTest.kt
@@ -1,9 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
 import dev.cardamomlane.core.codec.CborMessages
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.Serializable
-import kotlinx.serialization.cbor.CborLabel
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -277,15 +274,4 @@
         val ignored = assertNotNull(previous.decode(PeerCodec.encode(a.send())))
         assertNull(ignored.heartbeat)
     }
-
-    /** The datagram as the build before compression defines it. */
-    @OptIn(ExperimentalSerializationApi::class)
-    @Serializable
-    private data class PreviousMessage(
-        @CborLabel(1) val from: String,
-        @CborLabel(2) val incarnation: Long,
-        @CborLabel(3) val heartbeat: Heartbeat? = null,
-        @CborLabel(4) val query: MemberQuery? = null,
-        @CborLabel(5) val list: MemberList? = null,
-    )
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
@@ -2,9 +2,6 @@
 
 import dev.cardamomlane.core.codec.CborMessages
 import dev.cardamomlane.engine.zone.ZoneDrains
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.Serializable
-import kotlinx.serialization.cbor.CborLabel
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -53,17 +50,6 @@
         assertEquals(sent.copy(drains = null), decoded)
     }
 
-    /** [PeerMessage] as the build before zone drains declares it. */
-    @OptIn(ExperimentalSerializationApi::class)
-    @Serializable
-    private data class PreviousMessage(
-        @CborLabel(1) val from: String,
-        @CborLabel(2) val incarnation: Long,
-        @CborLabel(3) val heartbeat: Heartbeat? = null,
-        @CborLabel(4) val query: MemberQuery? = null,
-        @CborLabel(5) val list: MemberList? = null,
-    )
-
     @Test
     fun `bytes that are no message decode to null`() {
         for (bytes in listOf(byteArrayOf(), byteArrayOf(1, 2, 3), "START a".toByteArray())) {
