--- /dev/null
+++ b/review/standin/Cloud.java
@@ -0,0 +1,61 @@
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.function.Consumer;
+
+/** The platform's call that promotes a backend. It does not check the fence, but notes what arrives. */
+final class Cloud {
+    /** One call as it arrived, with the highest fence of its service before it. */
+    record Call(double seconds, String service, String target, String holder, long fence, long highestBefore) { }
+
+    final List<Call> calls = new ArrayList<>();
+    private final Recorder record;
+    private final List<Database> databases;
+
+    /** Called after each call that arrived and before its answer. */
+    volatile Consumer<Call> onCall = call -> { };
+
+    Cloud(String address, int port, List<Database> databases, Recorder record, ExecutorService threads) throws IOException {
+        this.databases = databases;
+        this.record = record;
+        HttpServer server = HttpServer.create(new InetSocketAddress(address, port), 128);
+        server.setExecutor(threads);
+        server.createContext("/promote", this::promote);
+        server.start();
+    }
+
+    private void promote(HttpExchange exchange) throws IOException {
+        try (exchange) {
+            Map<String, Object> body = Json.object(
+                Json.parse(new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8)));
+            String holder = exchange.getRequestHeaders().getFirst("X-Lease-Holder");
+            long fence = Long.parseLong(exchange.getRequestHeaders().getFirst("X-Fence-Token"));
+            String service = (String) body.get("service");
+            String target = (String) body.get("id");
+            Call call;
+            synchronized (this) {
+                long highest = calls.stream().filter(it -> it.service.equals(service)).mapToLong(Call::fence).max().orElse(0);
+                call = new Call(record.seconds(), service, target, holder, fence, highest);
+                calls.add(call);
+            }
+            int status = 409;
+            for (Database database : databases) {
+                if (database.service.equals(service)) status = database.promote(target);
+            }
+            record.line("promote arrives: service %s target %s holder %s fence %d, highest fence before %d, answer %d",
+                service, target, holder, fence, call.highestBefore, status);
+            onCall.accept(call);
+            exchange.sendResponseHeaders(status, -1);
+        }
+    }
+
+    synchronized List<Call> calls() {
+        return new ArrayList<>(calls);
+    }
+}
