review: case 1, two promotes of different targets under one fence, and the cases in order of gravity

Cause: an order of promotion that got no answer is forgotten. After 2.5 s the takeover chooses among the replicas afresh. Both orders may be performed, the second one after the first target was published, and then acknowledged writes are lost.

Nothing is fixed.

--- a/review/standin/Backend.java
+++ b/review/standin/Backend.java
@@ -300,7 +300,6 @@
 
         private void read(String statementId, String item) throws IOException {
             if (refuses()) return;
-            if (state == 'I') database.readSeconds.add(record.seconds());
             Background.sleep(statementMillis);
             record.line("run %s READ %s at %s", statementId, item, id);
             answer("ROW data-of-" + item + "\r\nDONE " + digest());
--- a/review/standin/Cloud.java
+++ b/review/standin/Cloud.java
@@ -18,6 +18,9 @@
     private final Recorder record;
     private final List<Database> databases;
 
+    private volatile long slowUntilNanos = System.nanoTime();
+    private volatile long delayMillis;
+
     /** Called after each call that arrived and before its answer. */
     volatile Consumer<Call> onCall = call -> { };
 
@@ -44,17 +47,27 @@
                 call = new Call(record.seconds(), service, target, holder, fence, highest);
                 calls.add(call);
             }
+            boolean isSlow = System.nanoTime() < slowUntilNanos;
+            record.line("promote arrives: service %s target %s holder %s fence %d%s", service, target, holder, fence,
+                isSlow ? ", performed late" : "");
+            if (isSlow) Background.sleep(delayMillis);
             int status = 409;
             for (Database database : databases) {
                 if (database.service.equals(service)) status = database.promote(target);
             }
-            record.line("promote arrives: service %s target %s holder %s fence %d, highest fence before %d, answer %d",
-                service, target, holder, fence, call.highestBefore, status);
+            record.line("promote of %s under fence %d is performed, answer %d", target, fence, status);
             onCall.accept(call);
             exchange.sendResponseHeaders(status, -1);
         }
     }
 
+    /** For [periodMillis], performs and answers each call that arrives only [callMillis] later. */
+    void beSlow(long periodMillis, long callMillis) {
+        record.line("the promote call is slow for %d ms", periodMillis);
+        delayMillis = callMillis;
+        slowUntilNanos = System.nanoTime() + periodMillis * 1_000_000;
+    }
+
     synchronized List<Call> calls() {
         return new ArrayList<>(calls);
     }
--- a/review/standin/Database.java
+++ b/review/standin/Database.java
@@ -1,9 +1,7 @@
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
  * One service: a primary and its replicas, with asynchronous replication, as PROTOCOL.md describes them.
@@ -30,9 +28,6 @@
 
     /** The callers' statements that a backend has begun to run. */
     final Set<String> begun = ConcurrentHashMap.newKeySet();
-
-    /** When each read outside a transaction was begun. */
-    final Queue<Double> readSeconds = new ConcurrentLinkedQueue<>();
     private long newestTerm = 1;
 
     Database(String service, Site site, Recorder record) {
--- a/review/standin/Review.java
+++ b/review/standin/Review.java
@@ -29,7 +29,7 @@
             case "ReleaseAndKill" -> ReleaseAndKill::run;
             case "StopInTransaction" -> StopInTransaction::run;
             case "KeyInTransaction" -> KeyInTransaction::run;
-            case "RollUnderLoad" -> RollUnderLoad::run;
+            case "SlowPromotion" -> SlowPromotion::run;
             default -> throw new IllegalArgumentException(name);
         };
     }
