wire: a link whose listener or decoder fails is closed

A caller, or this host at a target, waited for good: after an exception of the listener, or a frame length such as 0, the reader had ended while the connection stayed open. After a StackOverflowError, Reactor called neither handler, so onClosed was never called: the connection stayed counted, its transaction held its target connection, and the timeouts of its statement ran for nobody.

Cause: Reactor's onNext cancels the subscription when the listener throws, and rethrows errors of the virtual machine. Nobody closed. Now the reader catches whatever the listener throws, logs it, tells the listener once and closes the connection, at once if the other end does not read. Callers get 08P01 for a corrupted frame.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerSession.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerSession.kt
@@ -10,6 +10,7 @@
 import dev.cardamomlane.wire.ServerError
 import dev.cardamomlane.wire.TransactionStatus
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.CorruptedFrameException
 import io.netty.handler.codec.TooLongFrameException
 
 /**
@@ -70,7 +71,9 @@
 
     override fun onClosed(cause: Throwable?) {
         if (cause is TooLongFrameException) fail(Refusals.tooLarge(services.settings.maxMessageBytes))
-        if (cause is MalformedMessageException) fail(Refusals.malformed(cause.message.orEmpty()))
+        if (cause is MalformedMessageException || cause is CorruptedFrameException) {
+            fail(Refusals.malformed(cause.message.orEmpty()))
+        }
         end()
     }
 
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerStartup.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerStartup.kt
@@ -12,6 +12,7 @@
 import dev.cardamomlane.wire.TransactionStatus
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.CorruptedFrameException
 import io.netty.handler.codec.TooLongFrameException
 
 /**
@@ -49,7 +50,10 @@
     }
 
     override fun onClosed(cause: Throwable?) {
-        if (cause is TooLongFrameException && session == null) fail(Refusals.malformed("startup message is too long"))
+        if (session == null) {
+            if (cause is TooLongFrameException) fail(Refusals.malformed("startup message is too long"))
+            if (cause is CorruptedFrameException) fail(Refusals.malformed(cause.message.orEmpty()))
+        }
         session?.onClosed(cause)
         callerConnections.onClosed(this)
     }
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/NettyMessageLink.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/NettyMessageLink.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import org.reactivestreams.Subscription
+import org.tinylog.kotlin.Logger
 import reactor.core.publisher.BaseSubscriber
 import reactor.core.publisher.Mono
 import reactor.netty.Connection
@@ -54,7 +55,7 @@
         channel.close()
     }
 
-    private class Reader : BaseSubscriber<ByteBuf>() {
+    private inner class Reader : BaseSubscriber<ByteBuf>() {
         var listener: MessageListener? = null
         var paused = false
         private var closeUnreported = true
@@ -64,7 +65,15 @@
         }
 
         override fun hookOnNext(value: ByteBuf) {
-            listener?.onFrame(value)
+            try {
+                listener?.onFrame(value)
+            } catch (error: Throwable) {
+                // Not left to Reactor, which stops reading without closing, and reports no error of the virtual machine.
+                Logger.error(error, "link: Handling a message from {} failed.", channel.remoteAddress())
+                cancel()
+                closed(error)
+                return
+            }
             if (!paused) request(1)
         }
 
@@ -75,7 +84,12 @@
         private fun closed(cause: Throwable?) {
             if (!closeUnreported) return
             closeUnreported = false
-            listener?.onClosed(cause)
+            try {
+                listener?.onClosed(cause)
+            } finally {
+                // The listener may have sent an error, which an end that does not read would hold up.
+                if (channel.isWritable) close() else abort()
+            }
         }
     }
 
