wire: a message length that PostgreSQL refuses ends the connection at once

A caller that announced a length of -1 or 2^31-1 waited for good: the decoder discarded up to 4 GiB that never came before it would report the frame. Cause: an oversized frame is reported after its last byte, so that a sender that still writes reads the error, and a negative length counts as a very large one. Evidence: NettyMessageLinkTest with -1, Int.MIN_VALUE and Int.MAX_VALUE timed out before. Lengths below 4 or above PostgreSQL's own limit of one gibibyte are corrupted frames now; frames between the host's limit and that one are still reported after their last byte.

--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/FrameDecoders.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/FrameDecoders.kt
@@ -1,13 +1,13 @@
 package dev.cardamomlane.wire
 
 import io.netty.channel.ChannelHandler
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 
 /**
  * Netty handlers that split the byte stream into whole messages.
  *
  * A frame starts with its header: a type byte and four length bytes, or only the length bytes before startup ends.
- * A frame above the limit makes Netty throw `TooLongFrameException`.
+ * A frame above the limit makes Netty throw `TooLongFrameException`, and a length that no message of the protocol has
+ * makes it throw `CorruptedFrameException`.
  */
 public object FrameDecoders {
     /** The size of the header of a typed message: type and length. */
@@ -22,8 +22,6 @@
     /** Splits typed messages of at most [maxBytes], header included. */
     public fun typed(maxBytes: Int): ChannelHandler {
         require(maxBytes > HEADER_BYTES) { "maxBytes must exceed $HEADER_BYTES but was $maxBytes" }
-        // Not fail-fast: an oversized frame is reported only after its last byte, because a sender that still writes
-        // does not read the error.
-        return LengthFieldBasedFrameDecoder(maxBytes, 1, 4, -4, 0, false)
+        return TypedFrameDecoder(maxBytes)
     }
 }
--- a/cardamomlane-wire/src/test/kotlin/dev/cardamomlane/wire/NettyMessageLinkTest.kt
+++ b/cardamomlane-wire/src/test/kotlin/dev/cardamomlane/wire/NettyMessageLinkTest.kt
@@ -37,7 +37,7 @@
 
     // The reader ended at a length that no message can have, but the connection stayed open.
     @TestFactory
-    fun `a length that no message can have closes the connection`() = listOf(0, 3)
+    fun `a length that no message can have closes the connection`() = listOf(0, 3, -1, Int.MIN_VALUE, Int.MAX_VALUE)
         .flatMap { length ->
             listOf(
                 "typed" to { exchange(FrameDecoders.typed(MAX_BYTES), frame('Q', length, body = 1), Recorder {}) },
