wire: an odd SQLSTATE or a missing column is a malformed message

Readers of a target's messages expect MalformedMessageException; an SQLSTATE without five characters threw IllegalArgumentException and a missing column IndexOutOfBoundsException. Evidence: four cases of MessageCodecTest failed before. Both are checked where the message is decoded or read.

--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/BackendMessage.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/BackendMessage.kt
@@ -20,8 +20,15 @@
     public data class ReadyForQuery(val status: TransactionStatus) : BackendMessage
 
     public class DataRow(public val values: ImmutableList<ByteArray?>) : BackendMessage {
-        /** The value of column [index], which must be in text format, or null for an SQL null. */
-        public fun text(index: Int): String? = values[index]?.toString(Charsets.UTF_8)
+        /**
+         * The value of column [index], which must be in text format, or null for an SQL null.
+         *
+         * @throws MalformedMessageException if the row has no such column
+         */
+        public fun text(index: Int): String? {
+            if (index !in values.indices) throw MalformedMessageException("a row has no column $index")
+            return values[index]?.toString(Charsets.UTF_8)
+        }
     }
 
     public data class CommandComplete(val tag: String) : BackendMessage
@@ -65,8 +72,12 @@
                 if (code == '\u0000') break
                 fields[code] = body.readText()
             }
+            val sqlState = fields['C']
+            if (sqlState?.length != ServerError.SQL_STATE_LENGTH) {
+                throw MalformedMessageException("an ErrorResponse has the SQLSTATE \"$sqlState\"")
+            }
             return ServerError(
-                sqlState = fields['C'] ?: throw MalformedMessageException("an ErrorResponse has no SQLSTATE"),
+                sqlState = sqlState,
                 message = fields['M'].orEmpty(),
                 detail = fields['D'],
                 hint = fields['H'],
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/ServerError.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/ServerError.kt
@@ -17,7 +17,7 @@
         require(sqlState.length == SQL_STATE_LENGTH) { "sqlState must have 5 characters but was \"$sqlState\"" }
     }
 
-    private companion object {
+    internal companion object {
         const val SQL_STATE_LENGTH = 5
     }
 }
--- a/cardamomlane-wire/src/test/kotlin/dev/cardamomlane/wire/MessageCodecTest.kt
+++ b/cardamomlane-wire/src/test/kotlin/dev/cardamomlane/wire/MessageCodecTest.kt
@@ -87,4 +87,22 @@
 
         assertFailsWith<MalformedMessageException> { BackendMessage.decode(frame) }
     }
+
+    // An SQLSTATE of another length threw an exception that no reader of messages expects.
+    @ParameterizedTest
+    @ValueSource(strings = ["", "5340", "534000"])
+    fun `an error with an SQLSTATE that is not five characters long is malformed`(sqlState: String) {
+        val body = "C$sqlState\u0000Mtext\u0000\u0000".toByteArray()
+        val frame = Unpooled.buffer().writeByte('E'.code).writeInt(4 + body.size).writeBytes(body)
+
+        assertFailsWith<MalformedMessageException> { BackendMessage.decode(frame) }
+    }
+
+    // A control query's answer with fewer columns than expected threw an exception that no reader of messages expects.
+    @Test
+    fun `a column that a row does not have is malformed`() {
+        val row = assertIs<BackendMessage.DataRow>(BackendMessage.decode(BackendWriter.dataRow(out(), emptyList())))
+
+        assertFailsWith<MalformedMessageException> { row.text(0) }
+    }
 }
