fleet: numbers of peers that are out of range are refused

A peer's odd message could stop a customer or the fleet: a returned loan of NaN tokens made the level of the bucket NaN, so that every later statement of that customer threw on the event loop; infinite tokens lifted a limit; a negative age of the platform's evidence kept a host in good standing beyond its end; a version or revision of 2^63-1 was adopted, never left, and the next one overflowed.

Cause: FleetMessages passed on what the codec had read. Evidence: 56 of 64 cases of PeerRangesTest, "expected IllegalArgumentException, but was completed successfully" (three on retryAfterMillis were dropped: any value of it is bounded where it is used, and a valid one can be large). The bounds are in the types and in FleetMessages now; counting numbers go up to 2^53.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/Configuration.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/Configuration.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.core.fleet
 
+import dev.cardamomlane.core.SequenceNumbers
 import dev.cardamomlane.core.keys.KeyRing
 import dev.cardamomlane.core.rules.RuleSet
 
@@ -10,6 +11,10 @@
  * @property rulesText the text that [rules] was parsed from
  */
 public data class Configuration(val revision: Long, val rules: RuleSet, val rulesText: String, val keys: KeyRing) {
+    init {
+        SequenceNumbers.requireValid("revision", revision)
+    }
+
     public companion object {
         /** In force before the first revision: no customers, no keys, and the safe choice for every statement. */
         public val EMPTY: Configuration = Configuration(revision = 0, RuleSet.EMPTY, rulesText = "", KeyRing.EMPTY)
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/KnowledgeLevel.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/KnowledgeLevel.kt
@@ -1,5 +1,7 @@
 package dev.cardamomlane.core.fleet
 
+import dev.cardamomlane.core.SequenceNumbers
+
 /**
  * How much a host knows of the changes of the members and the configuration.
  *
@@ -9,6 +11,11 @@
  *   force
  */
 public data class KnowledgeLevel(val recordVersion: Long, val isRecordSettled: Boolean, val confirmedRevision: Long) {
+    init {
+        SequenceNumbers.requireValid("recordVersion", recordVersion)
+        SequenceNumbers.requireValid("confirmedRevision", confirmedRevision)
+    }
+
     /** True if a host at this level knows of no change that a host at [other] does not know. */
     public fun isWithin(other: KnowledgeLevel): Boolean =
         recordVersion <= other.recordVersion && confirmedRevision <= other.confirmedRevision
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/MemberRecord.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/MemberRecord.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.core.fleet
 
+import dev.cardamomlane.core.SequenceNumbers
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
@@ -20,6 +21,14 @@
     val members: ImmutableList<Member>,
     val previous: ImmutableList<Member>?,
 ) {
+    init {
+        SequenceNumbers.requireValid("version of the member record", version)
+        // A member that occurs twice would count twice towards a majority.
+        for (group in listOfNotNull(members, previous)) {
+            require(group.distinctBy { it.id }.size == group.size) { "member record $version names a member twice" }
+        }
+    }
+
     /** True if no host uses the previous members any more. */
     public val isSettled: Boolean get() = previous == null
 
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/PeerAnswer.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/PeerAnswer.kt
@@ -21,8 +21,17 @@
     public val confirmations: ByteArray,
     public val platformAgeMillis: Long?,
 ) {
-    /** The encoding of [ages]. */
+    init {
+        require(platformAgeMillis == null || platformAgeMillis in 0..MAX_PLATFORM_AGE_MILLIS) {
+            "platformAgeMillis must be from 0 to $MAX_PLATFORM_AGE_MILLIS but was $platformAgeMillis"
+        }
+    }
+
+    /** The encoding of [ages], and the bound of [platformAgeMillis]. */
     public companion object {
+        /** The oldest evidence of the platform that an answer can give, far beyond good standing. */
+        public const val MAX_PLATFORM_AGE_MILLIS: Long = 86_400_000
+
         /** The unit of [ages]. */
         public const val AGE_UNIT_MILLIS: Long = 20
 
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/RevisionHead.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/fleet/RevisionHead.kt
@@ -1,5 +1,7 @@
 package dev.cardamomlane.core.fleet
 
+import dev.cardamomlane.core.SequenceNumbers
+
 /**
  * The newest revisions of the configuration.
  *
@@ -8,6 +10,8 @@
  */
 public data class RevisionHead(val accepted: Long, val proposed: Long?) {
     init {
+        SequenceNumbers.requireValid("accepted", accepted)
+        proposed?.let { SequenceNumbers.requireValid("proposed", it) }
         require(proposed == null || proposed > accepted) { "proposed $proposed must be above accepted $accepted" }
     }
 
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/peer/FleetMessages.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/peer/FleetMessages.kt
@@ -19,7 +19,12 @@
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 
-/** Converts the messages of core's fleet and limits to peer messages and back. */
+/**
+ * Converts the messages of core's fleet and limits to peer messages and back.
+ *
+ * Peers may run another version or be broken: each function that decodes throws [IllegalArgumentException] if a value
+ * is out of range, before anything of the message is used.
+ */
 public object FleetMessages {
     /** Encodes the question of a heartbeat. */
     public fun of(question: PeerQuestion): PeerMessage.Question =
@@ -79,9 +84,9 @@
     public fun share(message: PeerMessage.LoanRequest): ShareMessage = ShareMessage.LoanRequest(
         CustomerId(message.customer),
         message.askId,
-        message.tokens,
+        tokens("tokens", message.tokens),
         message.loanSequence,
-        message.remaining,
+        tokens("remaining", message.remaining),
     )
 
     /** Decodes a loan grant. */
@@ -89,16 +94,19 @@
         customer = CustomerId(message.customer),
         requestId = message.askId,
         sequence = message.sequence,
-        burst = message.burst,
-        tokens = message.tokens,
-        termMillis = message.termMillis,
-        lenderHolding = Allowance(message.holderRatePerSecond, message.holderBurst),
+        burst = tokens("burst", message.burst),
+        tokens = tokens("tokens", message.tokens),
+        termMillis = termMillis(message.termMillis),
+        lenderHolding = Allowance(
+            tokens("holderRatePerSecond", message.holderRatePerSecond),
+            tokens("holderBurst", message.holderBurst),
+        ),
         retryAfterMillis = message.retryAfterMillis,
     )
 
     /** Decodes the return of a loan. */
     public fun share(message: PeerMessage.LoanReturn): ShareMessage =
-        ShareMessage.LoanReturn(CustomerId(message.customer), message.sequence, message.tokens)
+        ShareMessage.LoanReturn(CustomerId(message.customer), message.sequence, tokens("tokens", message.tokens))
 
     /** Encodes the content of a revision. */
     public fun of(configuration: Configuration): PeerMessage.RevisionContent = PeerMessage.RevisionContent(
@@ -114,6 +122,16 @@
         return Configuration(message.revision, rules, message.rulesText, KeyRing(keys))
     }
 
+    private fun tokens(name: String, value: Double): Double {
+        require(value in 0.0..MAX_TOKENS) { "$name must be from 0 to $MAX_TOKENS but was $value" }
+        return value
+    }
+
+    private fun termMillis(value: Long): Long {
+        require(value in 0..MAX_TERM_MILLIS) { "termMillis must be from 0 to $MAX_TERM_MILLIS but was $value" }
+        return value
+    }
+
     private fun level(level: KnowledgeLevel) =
         PeerMessage.Level(level.recordVersion, level.isRecordSettled, level.confirmedRevision)
 
@@ -131,4 +149,10 @@
 
     private fun members(members: List<PeerMessage.MemberAddress>): ImmutableList<Member> =
         members.map { Member(MemberId(HostId(it.host), it.incarnation), it.peerAddress) }.toImmutableList()
+
+    /** Above the largest rate per second and burst that a rule file can give. */
+    private const val MAX_TOKENS = 1e9
+
+    /** Far above the term of any loan. */
+    private const val MAX_TERM_MILLIS = 86_400_000L
 }
