store: a row that can't be used fails as unavailable and names its key

Tools and hosts got the exception of a parser for an odd row of the configuration, outside the contract of ConfigurationStore, and lanectl ended with a stack trace; a proposal of 2^63-1 was accepted, and the number of the next one was negative. Cause: the decoder's result went on unchecked. RowReader is the one guarded decoder of rows: JSON through UntrustedJson, then the conversion to types that refuse what is out of range.

--- a/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConfigurationHead.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConfigurationHead.kt
@@ -1,5 +1,7 @@
 package dev.cardamomlane.store
 
+import dev.cardamomlane.core.SequenceNumbers
+
 /**
  * Which revision of the configuration is in force and which one is proposed.
  *
@@ -8,7 +10,8 @@
  */
 public data class ConfigurationHead(val accepted: Long, val proposed: Long?) {
     init {
-        require(accepted >= 0) { "accepted must not be negative but was $accepted" }
+        SequenceNumbers.requireValid("accepted", accepted)
+        proposed?.let { SequenceNumbers.requireValid("proposed", it) }
         require(proposed == null || proposed > accepted) { "proposed $proposed must be above accepted $accepted" }
     }
 
--- a/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConfigurationRows.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConfigurationRows.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.store
 
+import arrow.core.Either
 import dev.cardamomlane.core.CustomerId
 import dev.cardamomlane.core.keys.KeyId
 import dev.cardamomlane.core.keys.KeyRecord
@@ -10,10 +11,7 @@
 /** Encodes and decodes the JSON of the rows `config/head` and `config/revision/N`. */
 internal object ConfigurationRows {
     const val HEAD_KEY = "config/head"
-    private val json = Json {
-        ignoreUnknownKeys = true
-        encodeDefaults = true
-    }
+    private val json = Json { encodeDefaults = true }
 
     @Serializable
     private data class HeadJson(val accepted: Long, val proposed: Long? = null)
@@ -32,21 +30,19 @@
 
     fun revisionKey(number: Long): String = "config/revision/$number"
 
-    fun headOf(row: Row): ConfigurationHead = json.decodeFromString<HeadJson>(row.value).let {
-        ConfigurationHead(it.accepted, it.proposed)
-    }
+    fun headOf(row: Row): Either<UnusableRow, ConfigurationHead> =
+        RowReader(HeadJson.serializer()).read(row) { ConfigurationHead(it.accepted, it.proposed) }
 
     fun write(head: ConfigurationHead): String = json.encodeToString(HeadJson(head.accepted, head.proposed))
 
-    fun revisionOf(row: Row): Revision {
-        val stored = json.decodeFromString<RevisionJson>(row.value)
+    fun revisionOf(row: Row): Either<UnusableRow, Revision> = RowReader(RevisionJson.serializer()).read(row) { stored ->
         val number = row.key.substringAfterLast('/').toLong()
         val keys = stored.keys.map { KeyRecord(KeyId(it.id), CustomerId(it.customer), it.hash) }.toImmutableList()
-        return Revision(number, stored.basedOn, stored.author, stored.rules, keys)
+        Revision(number, stored.basedOn, stored.author, stored.rules, keys)
     }
 
-    /** Returns the idempotency token with which the revision in [row] was proposed. */
-    fun tokenOf(row: Row): String = json.decodeFromString<RevisionJson>(row.value).token
+    /** Returns the idempotency token with which the revision in [row] was proposed, or null if the row is unusable. */
+    fun tokenOf(row: Row): String? = RowReader(RevisionJson.serializer()).read(row) { it.token }.getOrNull()
 
     fun write(draft: Draft, basedOn: Long, token: String): String {
         val keys = draft.keys.map { KeyJson(it.id.value, it.customer.value, it.hash) }
--- a/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConfigurationStore.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/ConfigurationStore.kt
@@ -16,7 +16,8 @@
  * Revision numbers only increase: the accepted number never decreases, and no number is used twice.
  *
  * Each operation retries a failed request up to [maxRetries] times without a delay. If that fails too, it ends with
- * [PlatformUnavailableException], and whether a write took effect is unknown until the head is read again.
+ * [PlatformUnavailableException], and whether a write took effect is unknown until the head is read again. It ends so,
+ * too, if a row that it needs can't be used.
  *
  * @param newToken returns a new idempotency token for each call
  */
@@ -34,7 +35,7 @@
     ) {
         Mono.just(Revision.NONE)
     } else {
-        withRetries { revisionRow(revision) }.map(ConfigurationRows::revisionOf)
+        withRetries { revisionRow(revision) }.flatMap { usable(ConfigurationRows.revisionOf(it)) }
     }
 
     /**
@@ -109,9 +110,12 @@
     private fun revisionRow(number: Long) = table.get(ConfigurationRows.revisionKey(number))
 
     private fun headRow(): Mono<HeadRow> = withRetries { table.get(HEAD_KEY) }
-        .map { HeadRow(it.version, ConfigurationRows.headOf(it)) }
+        .flatMap { row -> usable(ConfigurationRows.headOf(row)).map { HeadRow(row.version, it) } }
         .defaultIfEmpty(HeadRow(ConditionalWrite.ABSENT, ConfigurationHead(accepted = 0, proposed = null)))
 
+    private fun <T : Any> usable(read: Either<UnusableRow, T>): Mono<T> =
+        read.fold({ Mono.error(it.toException()) }, { Mono.just(it) })
+
     private fun <T : Any> withRetries(request: () -> Mono<T>): Mono<T> =
         Mono.defer(request).retryWhen(Retry.max(maxRetries).filter { it is PlatformUnavailableException }.rethrowLast())
 
--- a/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/ConfigurationStoreTest.kt
+++ b/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/ConfigurationStoreTest.kt
@@ -10,6 +10,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
 
 class ConfigurationStoreTest {
     private val table = MemoryPlatformTable()
@@ -122,6 +123,28 @@
         assertEquals(ConfigurationHead(accepted = 0, proposed = null), head())
     }
 
+    // Tools got the exception of a parser, or a number that had overflowed, in place of the promised failure.
+    @TestFactory
+    fun `rows that no tool writes fail as unavailable`() = listOf(
+        "config/head" to """{"accepted":9223372036854775807}""",
+        "config/head" to """{"accepted":0,"proposed":9223372036854775807}""",
+        "config/head" to """{"accepted":1,"proposed":1}""",
+        "config/head" to """{"accepted":1e999}""",
+        "config/head" to "[".repeat(60_000),
+        "config/revision/7" to """{"rules":"","keys":[{"id":" ","customer":"c","hash":""}],"basedOn":0,"author":""}""",
+        "config/revision/7" to "\u0000",
+    ).map { (key, value) ->
+        DynamicTest.dynamicTest("$key ${value.take(40)}") {
+            val odd = MemoryPlatformTable()
+            odd.write(listOf(ConditionalWrite(key, 0, value)), token = "1").block()
+            val oddStore = ConfigurationStore(odd)
+            val failure = assertFailsWith<PlatformUnavailableException> {
+                if (key == "config/head") oddStore.propose(0, draft("a")).block() else oddStore.read(7).block()
+            }
+            assertTrue(key in failure.message.orEmpty(), failure.message)
+        }
+    }
+
     private class Fault(val name: String, val inject: MemoryPlatformTable.() -> Unit)
 
     /** Calls [writeOther], a write of another operator, just before the first write. */
