--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/HostLease.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/HostLease.kt
@@ -51,7 +51,7 @@
      * write was lost, else another incarnation's. Before the first write has succeeded, a conflict is no loss.
      */
     private fun checkOwnership(): Mono<Boolean> = current().map { row ->
-        val isOwn = row.map { FleetRows.decodeLease(it)?.member?.id == self.id }.orElse(false)
+        val isOwn = row.map { FleetRows.decodeLease(it).getOrNull()?.member?.id == self.id }.orElse(false)
         if (isOwn) rowVersion = row.get().version
         isOwn || rowVersion == null
     }
