fleet: a lease that was overwritten with garbage is taken back

A host whose lease row another program had overwritten left good standing for good, and every statement on it was refused until a restart. Cause: after a conflict, a row that could not be decoded counted as another incarnation's. Evidence: HostLeaseTest, before: expected <true> but was <false>. Garbage names no other incarnation, so the host keeps its lease and writes the row again at its version; a row that does name a later incarnation still ends this one.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/HostLease.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/HostLease.kt
@@ -5,6 +5,7 @@
 import dev.cardamomlane.store.PlatformTable
 import dev.cardamomlane.store.Row
 import dev.cardamomlane.store.WriteOutcome
+import org.tinylog.kotlin.Logger
 import reactor.core.publisher.Mono
 import java.util.Optional
 import java.util.UUID
@@ -49,12 +50,22 @@
     /**
      * Finds the owner of the row after a conflict. The row is still this incarnation's when the answer to an earlier
      * write was lost, else another incarnation's. Before the first write has succeeded, a conflict is no loss.
+     *
+     * A row that can't be used names no other incarnation, so the next renewal writes it again.
      */
     private fun checkOwnership(): Mono<Boolean> = current().map { row ->
-        val isOwn = row.map { FleetRows.decodeLease(it).getOrNull()?.member?.id == self.id }.orElse(false)
+        val isOwn = row.map { isOwn(it) }.orElse(false)
         if (isOwn) rowVersion = row.get().version
         isOwn || rowVersion == null
     }
 
+    private fun isOwn(row: Row): Boolean = FleetRows.decodeLease(row).fold(
+        { unusable ->
+            Logger.warn { "fleet: the lease ${unusable.key} was overwritten and is taken back: ${unusable.reason}" }
+            true
+        },
+        { lease -> lease.member.id == self.id },
+    )
+
     private fun current(): Mono<Optional<Row>> = table.get(key).map { Optional.of(it) }.defaultIfEmpty(Optional.empty())
 }
