failover: an odd row of a group's claims leaves the outcome unknown

With a term of 9e18 or 2^63-1 in the row group/NAME every claim was lost, so that no host replaced a failed primary, and the machine's next term overflowed; a negative term was overwritten. Cause: the row's values were not checked. With Unknown the failover goes on without the claim, as it does without the platform: safety rests on the targets. The line in the log names the row.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/TermClaims.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/TermClaims.kt
@@ -1,13 +1,17 @@
 package dev.cardamomlane.daemon.group
 
+import arrow.core.getOrElse
 import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.SequenceNumbers
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.failover.ClaimOutcome
 import dev.cardamomlane.store.ConditionalWrite
 import dev.cardamomlane.store.PlatformTable
+import dev.cardamomlane.store.RowReader
 import dev.cardamomlane.store.WriteOutcome
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.tinylog.kotlin.Logger
 import reactor.core.publisher.Mono
 import java.util.UUID
 
@@ -18,9 +22,10 @@
     /**
      * Claims [term] for [claimant]. Idempotent: a repeated claim of a won term is won again.
      *
-     * Never fails: an error of the platform gives [ClaimOutcome.Unknown].
+     * Never fails: an error of the platform, or a row that can't be used, gives [ClaimOutcome.Unknown].
      */
     fun claim(term: Long, claimant: String): Mono<ClaimOutcome> = put(TermRow(term, claimant, primary = null))
+        .doOnError { Logger.warn { "failover: whether term $term in $key is claimed is unknown: ${it.message}" } }
         .onErrorReturn(ClaimOutcome.Unknown)
 
     /** Records [primary] as the primary of [term], unless the row has a later term or another claimant of [term]. */
@@ -28,7 +33,7 @@
         put(TermRow(term, claimant, primary.value)).then()
 
     private fun put(row: TermRow, tries: Int = MAX_TRIES): Mono<ClaimOutcome> = table.get(key)
-        .map { Stored(it.version, json.decodeFromString<TermRow>(it.value)) }
+        .map { row -> Stored(row.version, rows.read(row, ::valid).getOrElse { throw it.toException() }) }
         .defaultIfEmpty(Stored(ConditionalWrite.ABSENT, TermRow(term = 0, claimant = "", primary = null)))
         .flatMap { stored -> replace(stored, row, tries) }
 
@@ -46,6 +51,8 @@
         }
     }
 
+    private fun valid(row: TermRow): TermRow = row.also { SequenceNumbers.requireValid("term", it.term) }
+
     private class Stored(val version: Long, val row: TermRow)
 
     @Serializable
@@ -53,6 +60,7 @@
 
     private companion object {
         const val MAX_TRIES = 3
-        val json = Json { ignoreUnknownKeys = true }
+        val json = Json
+        val rows = RowReader(TermRow.serializer())
     }
 }
