failover: terms and positions that no target can have are refused where they are read

A term of 2^63-1 in a target's status or in a peer's view was adopted; no target had it, so that every statement was refused, and the term of the next takeover was negative. A negative position in the answer to a control query threw IllegalArgumentException, which the readers of a target's messages don't expect: the reader ended and the connection stayed open. Cause: the numbers went on unchecked.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptQueries.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptQueries.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.daemon.caller
 
 import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.SequenceNumbers
 import dev.cardamomlane.core.group.PositionAnswer
 import dev.cardamomlane.core.group.TargetRole
 import dev.cardamomlane.daemon.target.InternalReplyHandler
@@ -29,19 +30,26 @@
         onReady: () -> Unit,
         onLost: () -> Unit,
     ): InternalReplyHandler = InternalReplyHandler(
-        onRow = { row -> if (row.text(2) == "t") onConfirmed(LogPosition(number(row, 0), number(row, 1))) },
+        onRow = { row -> if (row.text(2) == "t") onConfirmed(position(row)) },
         onReady = onReady,
         onLost = onLost,
     )
 
     private fun readPosition(row: BackendMessage.DataRow) = PositionAnswer(
-        applied = LogPosition(number(row, 0), number(row, 1)),
+        applied = position(row),
         role = if (row.text(2) == "primary") TargetRole.PRIMARY else TargetRole.REPLICA,
-        fenceTerm = number(row, 3),
+        fenceTerm = term(row, 3),
     )
 
+    private fun position(row: BackendMessage.DataRow) = LogPosition(term(row, 0), number(row, 1))
+
+    private fun term(row: BackendMessage.DataRow, index: Int): Long = number(row, index).also {
+        if (it > SequenceNumbers.MAX) throw MalformedMessageException("column $index holds the term $it")
+    }
+
     private fun number(row: BackendMessage.DataRow, index: Int): Long = row.text(index)?.toLongOrNull()
-        ?: throw MalformedMessageException("column $index of the answer to a control query is not a number")
+        ?.takeIf { it >= 0 }
+        ?: throw MalformedMessageException("column $index of the answer to a control query is no number from 0")
 
     /**
      * Used in place of the answer of a target that did not return its position. It is never fresh enough, since no term
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/GroupViewRequests.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/GroupViewRequests.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.daemon.fleet
 
 import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.SequenceNumbers
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.failover.PeerView
@@ -30,9 +31,14 @@
             peers.forEach { send(it, PeerMessage.GroupViewRequest(requestId, database.value)) }
         }.take(peers.size.toLong())
 
-    /** Handles the answer of [from]. Ignores it when its request has ended. */
+    /**
+     * Handles the answer of [from]. Ignores it when its request has ended.
+     *
+     * @throws IllegalArgumentException if a value of [message] is out of range
+     */
     fun onResponse(from: MemberId, message: PeerMessage.GroupViewResponse) {
-        val view = PeerView(from.host, message.term, message.primary?.let(::TargetId), reachOf(message.reach))
+        val term = SequenceNumbers.requireValid("term", message.term)
+        val view = PeerView(from.host, term, message.primary?.let(::TargetId), reachOf(message.reach))
         pending[message.askId]?.next(view)
     }
 
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/ControlFunctionResults.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/ControlFunctionResults.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.daemon.group
 
 import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.SequenceNumbers
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.group.TargetRole
 import dev.cardamomlane.core.group.TargetStatus
@@ -9,17 +10,21 @@
 internal object ControlFunctionResults {
     private const val STATUS_COLUMNS = 10
 
-    /** Reads the status columns of [row]. [first] is the index of the first of them. */
+    /**
+     * Reads the status columns of [row]. [first] is the index of the first of them.
+     *
+     * @throws IllegalArgumentException if a column is missing, or its value is one that no target can have
+     */
     fun status(row: TextRow, first: Int = 0): TargetStatus {
         require(row.size >= first + STATUS_COLUMNS) {
             "a status row has too few columns: ${row.size}"
         }
         return TargetStatus(
             role = role(row[first]),
-            fenceTerm = row[first + 1].toLong(),
+            fenceTerm = term(row[first + 1]),
             fenceClaimant = row[first + 2].ifEmpty { null },
-            received = LogPosition(row[first + 3].toLong(), row[first + 4].toLong()),
-            applied = LogPosition(row[first + 5].toLong(), row[first + 6].toLong()),
+            received = LogPosition(term(row[first + 3]), row[first + 4].toLong()),
+            applied = LogPosition(term(row[first + 5]), row[first + 6].toLong()),
             following = row[first + 7].ifEmpty { null }?.let(::TargetId),
             leaving = flag(row[first + 8]),
             incarnation = row[first + 9],
@@ -29,6 +34,8 @@
     /** Reads the `granted` column, the first of the row. */
     fun granted(row: TextRow): Boolean = flag(row[0])
 
+    private fun term(text: String): Long = SequenceNumbers.requireValid("term", text.toLong())
+
     private fun flag(text: String): Boolean = text == "t"
 
     private fun role(text: String): TargetRole = when (text) {
