daemon: a part of a heartbeat, poll or tick that fails does not keep the others from their turn

When one target's poll threw, the targets after it were not polled and a failover that was due did not come; when a step of the fleet's heartbeat threw, the lease was not renewed and the other hosts removed this one; when a part of the tick threw, the timeouts of all other statements were not checked. The same part failed each time, so this lasted. Cause: the parts ran in one plain loop. GuardedParts runs and logs each part by itself. A poll that fails for another reason than its timeout is logged with the reason, and a peer's announced term is checked.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/Daemon.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/Daemon.kt
@@ -92,6 +92,7 @@
         serverParameters = ServerParameters(opener, targetRequests.controlByDatabase()),
         forwardCancel = ::forwardCancel,
     )
+    private val parts = GuardedParts()
     private var appliedMemberCount = 0
     private lateinit var callers: DisposableServer
     private lateinit var admin: DisposableServer
@@ -127,10 +128,10 @@
 
     private fun tick() {
         val nowMillis = timers.nowMillis()
-        shareConnections()
-        peerRequestHandler.refresh()
-        dispatchers.values.forEach { it.poll() }
-        services.executions.toList().forEach { it.onTick(nowMillis) }
+        parts.run("host: sharing connections") { shareConnections() }
+        parts.run("host: the views for peers") { peerRequestHandler.refresh() }
+        parts.runEach("host: the queue of a target", dispatchers.values) { it.poll() }
+        parts.runEach("host: the timeouts of a statement", services.executions.toList()) { it.onTick(nowMillis) }
     }
 
     private fun readiness(): Readiness = when {
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/FleetDriver.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/FleetDriver.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.CustomerId
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.HostId
+import dev.cardamomlane.core.SequenceNumbers
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.TimerSubscription
@@ -18,8 +19,10 @@
 import dev.cardamomlane.core.limits.ShareLendingLimiter
 import dev.cardamomlane.core.limits.ShareMessage
 import dev.cardamomlane.daemon.FleetGate
+import dev.cardamomlane.daemon.GuardedParts
 import dev.cardamomlane.daemon.settings.IpAddress
 import dev.cardamomlane.store.PlatformTable
+import dev.cardamomlane.store.RateLimitedLog
 import dev.cardamomlane.store.WriteOutcome
 import dev.cardamomlane.wire.peer.FleetMessages
 import dev.cardamomlane.wire.peer.PeerMessage
@@ -61,6 +64,7 @@
     private val lease = HostLease(table, self)
     private val viewRequests = GroupViewRequests(timers, links::send)
     private val heartbeatMillis = timings.heartbeatMillis
+    private val parts = GuardedParts(RateLimitedLog(timers::nowMillis))
     private val revisionInForce = InForceTracker()
     private var heartbeats: TimerSubscription? = null
 
@@ -131,8 +135,8 @@
     }
 
     private fun heartbeat() {
-        links.closeSilent()
-        lock.withLock { limiter.tick(timers.nowMillis()) }
+        parts.run("fleet: closing silent links") { links.closeSilent() }
+        parts.run("fleet: the tick of the limiter") { lock.withLock { limiter.tick(timers.nowMillis()) } }
         onEvent(FleetEvent.HeartbeatDue)
     }
 
@@ -144,7 +148,7 @@
             revisionInForce.update(machine.configuration)
             result
         }
-        actions.forEach(::perform)
+        parts.runEach("fleet: an action", actions, ::perform)
     }
 
     private fun perform(action: FleetAction) {
@@ -221,8 +225,10 @@
             is PeerMessage.LoanReturn -> onShareMessage(from, FleetMessages.share(message))
             is PeerMessage.GroupViewRequest -> sendGroupView(from, message)
             is PeerMessage.GroupViewResponse -> viewRequests.onResponse(from, message)
-            is PeerMessage.TermAnnouncement ->
-                requestHandler.onNewTerm(DatabaseId(message.database), message.term, TargetId(message.primary))
+            is PeerMessage.TermAnnouncement -> {
+                val term = SequenceNumbers.requireValid("term", message.term)
+                requestHandler.onNewTerm(DatabaseId(message.database), term, TargetId(message.primary))
+            }
             is PeerMessage.CancelForward -> requestHandler.onCancel(message.processId, message.secretKey)
             is PeerMessage.Hello, is PeerMessage.Proof -> Unit
         }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/FailoverDriver.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/FailoverDriver.kt
@@ -8,6 +8,8 @@
 import dev.cardamomlane.core.failover.FailoverEvent
 import dev.cardamomlane.core.failover.FailoverMachine
 import dev.cardamomlane.core.group.GroupMonitor
+import dev.cardamomlane.daemon.GuardedParts
+import dev.cardamomlane.store.RateLimitedLog
 import org.tinylog.kotlin.Logger
 import reactor.core.publisher.Mono
 import reactor.core.scheduler.Scheduler
@@ -31,6 +33,7 @@
     private val pollers = controls.values.map { control ->
         TargetPoller(control, monitor, timers, scheduler, settings) { on(FailoverEvent.Tick) }
     }
+    private val parts = GuardedParts(RateLimitedLog(timers::nowMillis))
     private val subscriptions = ArrayList<TimerSubscription>()
     private var polledAtMillis = Long.MIN_VALUE / 2
     private var isPollDue = false
@@ -49,7 +52,7 @@
 
     /** Passes [event] to the failover machine and performs the actions that it returns. */
     fun on(event: FailoverEvent) {
-        machine.on(event, timers.nowMillis()).forEach(::perform)
+        parts.runEach("failover: an action in ${monitor.database}", machine.on(event, timers.nowMillis()), ::perform)
         logTerm()
     }
 
@@ -78,7 +81,7 @@
         val nowMillis = timers.nowMillis()
         polledAtMillis = nowMillis
         val round = monitor.beginRound(nowMillis)
-        pollers.forEach { it.poll(round) }
+        parts.runEach("failover: a poll in ${monitor.database}", pollers) { it.poll(round) }
     }
 
     private fun perform(action: FailoverAction) {
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/TargetPoller.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/TargetPoller.kt
@@ -3,8 +3,11 @@
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.group.GroupMonitor
 import dev.cardamomlane.core.group.PollRound
+import dev.cardamomlane.store.RateLimitedLog
+import reactor.core.publisher.Mono
 import reactor.core.scheduler.Scheduler
 import java.time.Duration
+import java.util.concurrent.TimeoutException
 
 /**
  * Polls one target and reports the answers and failures to [monitor]. It uses the kept connection, and new connections
@@ -27,6 +30,7 @@
     private var unansweredSinceMillis: Long? = null
     private var probedAtMillis = Long.MIN_VALUE / 2
     private var openProbes = 0
+    private val log = RateLimitedLog(timers::nowMillis)
 
     /** Polls the target for [round]. Sends nothing while polls are unanswered and no further probe is allowed. */
     fun poll(round: PollRound) {
@@ -57,7 +61,7 @@
             }
         }
         val timeout = timers.after(settings.pollTimeoutMillis, onFailed)
-        control.status(newConnection)
+        Mono.defer { control.status(newConnection) }
             .timeout(Duration.ofMillis(settings.lateAnswerMillis), scheduler)
             .publishOn(scheduler)
             .doFinally {
@@ -71,7 +75,10 @@
                     monitor.onStatus(round, control.target, status, timers.nowMillis())
                     onChange()
                 },
-                { onFailed() },
+                { cause ->
+                    if (cause !is TimeoutException) log.warn("failover: poll of ${control.target}", "$cause")
+                    onFailed()
+                },
             )
     }
 }
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/fleet/FleetDriverTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/fleet/FleetDriverTest.kt
@@ -12,10 +12,13 @@
 import dev.cardamomlane.store.ConfigurationStore
 import dev.cardamomlane.store.Draft
 import dev.cardamomlane.store.MemoryPlatformTable
+import dev.cardamomlane.store.PlatformTable
+import dev.cardamomlane.store.Row
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import reactor.core.publisher.Mono
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -99,7 +102,12 @@
 
     private fun FleetDriver.refusedHandshakes() = registry().counter("cardamomlane.peer.handshakes.refused").count()
 
-    private fun start(name: String, secret: String = "test", incarnation: Long = 1): FleetDriver {
+    private fun start(
+        name: String,
+        secret: String = "test",
+        incarnation: Long = 1,
+        table: PlatformTable = this.table,
+    ): FleetDriver {
         val registry = SimpleMeterRegistry()
         val address = InetSocketAddress(InetAddress.getLoopbackAddress(), freePort())
         val fleet =
@@ -161,4 +169,15 @@
             executor.shutdownNow()
         }
     }
+
+    // A step of the heartbeat that failed kept the lease from being renewed, so that the other hosts removed this one.
+    @Test
+    fun `a read that fails at once does not keep the lease from being renewed`() {
+        val broken = object : PlatformTable by table {
+            override fun get(key: String): Mono<Row> =
+                if (key.startsWith("record/")) throw StackOverflowError() else table.get(key)
+        }
+        start("host-0", table = broken)
+        await("two renewals") { (table.get("member/host-0").block()?.version ?: 0) >= 2 }
+    }
 }
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/FailoverDriverTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/group/FailoverDriverTest.kt
@@ -148,4 +148,27 @@
         advance(1_500)
         assertEquals(1 to 1, positions.size to failures.size)
     }
+
+    // A target whose poll threw kept the targets after it from being polled, so that its failure was not even seen.
+    @Test
+    fun `a target whose poll fails at once is replaced, and followed up once it answers`() {
+        var broken = false
+        start { name ->
+            val control = targets.getValue(name)
+            object : TargetControl by control {
+                override fun status(newConnection: Boolean): Mono<TargetStatus> =
+                    if (broken && name == a.target) throw StackOverflowError() else control.status(newConnection)
+            }
+        }
+        broken = true
+        a.isPartitioned = true
+        advance(3_000)
+        for (group in groups) assertEquals(2, assertIs<RouteChoice.Use>(write(group)).term)
+
+        broken = false
+        a.isPartitioned = false
+        // Before a later takeover, which these targets cause because they do not replicate.
+        advance(300)
+        assertEquals(groups.first().view().primary, a.status.following)
+    }
 }
