fleet: a message that can't be handled loses only itself, not the link

One odd message ended the link between two hosts with all messages queued on it; sent with each heartbeat, it ended the link again and again. Cause: the loop that reads a link passed on whatever the listener threw. The message is left out now, with a line that names its type, sender and reason.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/PeerLink.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/PeerLink.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.daemon.fleet
 
 import dev.cardamomlane.core.fleet.MemberId
+import dev.cardamomlane.store.RateLimitedLog
 import dev.cardamomlane.wire.peer.PeerCodec
 import dev.cardamomlane.wire.peer.PeerHandshake
 import dev.cardamomlane.wire.peer.PeerMessage
@@ -27,6 +28,7 @@
     private val handshake: PeerHandshake,
     private val meters: PeerMeters,
     private val nowMillis: () -> Long,
+    private val log: RateLimitedLog,
 ) {
     private val outgoing = Channel<PeerMessage>(QUEUE_LENGTH)
 
@@ -81,13 +83,28 @@
             while (true) {
                 val message = read(input, PeerCodec.MAX_MESSAGE_BYTES)
                 unansweredSinceMillis = null
-                message?.let { listener.onMessage(other, it) }
+                if (message == null) {
+                    log.warn("fleet: a message of $other is left out", "it is none that this version knows")
+                } else {
+                    deliver(other, message, listener)
+                }
             }
         } finally {
             writer.cancel()
         }
     }
 
+    /** A message that can't be handled, for example because a value is out of range, loses only itself. */
+    private fun deliver(other: MemberId, message: PeerMessage, listener: PeerListener) {
+        try {
+            listener.onMessage(other, message)
+        } catch (e: IllegalArgumentException) {
+            log.warn("fleet: a ${message.javaClass.simpleName} of $other is left out", e.message.orEmpty())
+        } catch (e: Throwable) {
+            log.error("fleet: handling a ${message.javaClass.simpleName} of $other", e)
+        }
+    }
+
     private suspend fun authenticate(input: ByteReadChannel, output: ByteWriteChannel): MemberId? {
         write(output, handshake.hello())
         val hello = read(input, PeerCodec.MAX_HELLO_BYTES) as? PeerMessage.Hello ?: return null
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/PeerLinks.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/fleet/PeerLinks.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.fleet.MemberId
 import dev.cardamomlane.daemon.settings.IpAddress
+import dev.cardamomlane.store.RateLimitedLog
 import dev.cardamomlane.wire.peer.PeerHandshake
 import dev.cardamomlane.wire.peer.PeerMessage
 import io.ktor.network.selector.SelectorManager
@@ -10,6 +11,7 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -19,7 +21,6 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
-import java.io.IOException
 import java.net.InetSocketAddress
 import java.security.SecureRandom
 import java.util.concurrent.ConcurrentHashMap
@@ -37,7 +38,11 @@
     private val addressOf: (MemberId) -> String?,
     private val listener: PeerListener,
 ) {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val log = RateLimitedLog(timers::nowMillis)
+    private val scope = CoroutineScope(
+        SupervisorJob() + Dispatchers.Default +
+            CoroutineExceptionHandler { _, error -> log.error("fleet: a link", error) },
+    )
     private val selector = SelectorManager(Dispatchers.IO)
     private val random = SecureRandom()
     private val links = ConcurrentHashMap<MemberId, PeerLink>()
@@ -82,23 +87,26 @@
         while (!isStopped) {
             try {
                 accept(bound.accept())
-            } catch (e: IOException) {
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                // Any failure, not only of the socket: after the end of this loop no host could open a link.
                 if (isStopped) return
-                Logger.warn { "fleet: accepting a link failed: ${e.message}" }
+                Logger.warn { "fleet: accepting a link failed: $e" }
                 delay(MIN_BACKOFF_MILLIS)
             }
         }
     }
 
     private fun accept(socket: Socket) {
-        val link = PeerLink(handshake(isInitiator = false), meters, timers::nowMillis)
+        val link = PeerLink(handshake(isInitiator = false), meters, timers::nowMillis, log)
         scope.launch { runLink(link, socket, expected = null) }
     }
 
     private fun dial(to: MemberId): PeerLink? {
         val address = addressOf(to)?.let { IpAddress.parse(it) } ?: return null
         val backoff = backoffs.computeIfAbsent(to) { Backoff() }
-        val link = PeerLink(handshake(isInitiator = true), meters, timers::nowMillis)
+        val link = PeerLink(handshake(isInitiator = true), meters, timers::nowMillis, log)
         synchronized(backoff) {
             links[to]?.let { return it }
             if (!backoff.mayTry(timers.nowMillis())) return null
