store: an item that is no row loses only itself in a scan

One item of another program under member/, for example without a version or with the version 1E20, made the scan of all leases fail on every host, with exceptions outside the contract of PlatformTable. Cause: each attribute was taken for granted while the page was mapped. A scan leaves the item out and logs its key; a read of it fails as PlatformUnavailableException.

--- a/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/DynamoItems.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/DynamoItems.kt
@@ -1,5 +1,8 @@
 package dev.cardamomlane.store
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import software.amazon.awssdk.services.dynamodb.model.AttributeValue
 import software.amazon.awssdk.services.dynamodb.model.TransactWriteItem
 
@@ -16,9 +19,17 @@
     fun key(key: String): Map<String, AttributeValue> =
         mapOf(PARTITION_KEY to text(RowKeys.partition(key)), SORT_KEY to text(RowKeys.sortKey(key)))
 
-    fun row(item: Map<String, AttributeValue>): Row {
-        val key = "${item.getValue(PARTITION_KEY).s()}/${item.getValue(SORT_KEY).s()}"
-        return Row(key, item.getValue(VERSION).n().toLong(), item.getValue(VALUE).s())
+    /** Converts [item], or says why it is no row: any program with access to the table may have written it. */
+    fun row(item: Map<String, AttributeValue>): Either<UnusableRow, Row> {
+        val key = "${item[PARTITION_KEY]?.s().orEmpty()}/${item[SORT_KEY]?.s().orEmpty()}"
+        val version = item[VERSION]?.n()?.toLongOrNull()
+            ?: return UnusableRow(key, "its version is no whole number").left()
+        val value = item[VALUE]?.s() ?: return UnusableRow(key, "its value is no text").left()
+        return try {
+            Row(key, version, value).right()
+        } catch (failure: IllegalArgumentException) {
+            UnusableRow(key, failure.message.orEmpty()).left()
+        }
     }
 
     /** Returns the key condition for the rows whose keys start with [prefix], with its values. */
--- a/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/DynamoPlatformTable.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/DynamoPlatformTable.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.store
 
+import arrow.core.Either
 import kotlinx.collections.immutable.toImmutableList
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
@@ -21,6 +22,7 @@
     PlatformTable,
     AutoCloseable {
     private val clientHolder = DynamoClient(settings)
+    private val log = RateLimitedLog()
 
     override fun get(key: String): Mono<Row> {
         RowKeys.requireValid(key)
@@ -28,7 +30,7 @@
             Mono.fromFuture {
                 client.getItem { it.tableName(settings.tableName).key(DynamoItems.key(key)).consistentRead(true) }
             }
-        }.flatMap { if (it.hasItem()) Mono.just(DynamoItems.row(it.item())) else Mono.empty() }
+        }.flatMap { if (it.hasItem()) usable(DynamoItems.row(it.item())) else Mono.empty() }
     }
 
     override fun scan(prefix: String): Flux<Row> {
@@ -40,11 +42,16 @@
                     if (it.hasLastEvaluatedKey()) page(client, condition, it.lastEvaluatedKey()) else Mono.empty()
                 }
                 .concatMapIterable { it.items() }
-                .map(DynamoItems::row)
+                .mapNotNull<Row> { item ->
+                    DynamoItems.row(item).onLeft { log.warn("table: row ${it.key} is left out", it.reason) }.getOrNull()
+                }
                 .collectList()
         }.flatMapIterable { it }
     }
 
+    private fun usable(read: Either<UnusableRow, Row>): Mono<Row> =
+        read.fold({ Mono.error(it.toException()) }, { Mono.just(it) })
+
     private fun page(
         client: DynamoDbAsyncClient,
         condition: DynamoItems.PrefixCondition,
--- a/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/PlatformTable.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/PlatformTable.kt
@@ -11,12 +11,15 @@
  * [PlatformUnavailableException].
  */
 public interface PlatformTable {
-    /** Reads one row, including the effect of every acknowledged write. Completes empty when there is no such row. */
+    /**
+     * Reads one row, including the effect of every acknowledged write. Completes empty when there is no such row, and
+     * fails with [PlatformUnavailableException] when the item under its key is no row.
+     */
     public fun get(key: String): Mono<Row>
 
     /**
      * Reads every row whose key starts with [prefix], in the order of their keys. The prefix must contain a slash.
-     * Writes made during the scan may or may not be seen.
+     * Writes made during the scan may or may not be seen. Items that are no rows are left out and logged.
      */
     public fun scan(prefix: String): Flux<Row>
 
