store: an odd entry of the host list loses only itself

lanectl showed no host at all when one entry of the list was odd. Cause: the list was decoded as a whole.

--- a/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/HttpHostListTest.kt
+++ b/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/HttpHostListTest.kt
@@ -50,4 +50,30 @@
         status = 500
         assertFailsWith<PlatformUnavailableException> { list.hosts().block() }
     }
+
+    // One odd entry hid every host from lanectl.
+    @Test
+    fun `an odd entry loses only itself`() {
+        val addresses = """"availabilityZone":"a","peerAddress":"p","adminAddress":"q""""
+        val good = """{"host":"h",$addresses}"""
+        val nested = "[".repeat(60) + "]".repeat(60)
+        for (odd in listOf(
+            "{}",
+            "1e999",
+            "null",
+            nested,
+            """{"host":" ",$addresses}""",
+            """{"host":[],$addresses}""",
+        )) {
+            body = Mono.just("[$odd,$good]")
+            assertEquals(listOf(HostId("h")), list.hosts().block()?.map { it.host }, odd)
+        }
+    }
+
+    // A deeply nested response overflows the stack of a recursive parser, and no handler is called for that error.
+    @Test
+    fun `a deeply nested response is unavailable`() {
+        body = Mono.just("[".repeat(60_000))
+        assertFailsWith<PlatformUnavailableException> { list.hosts().block() }
+    }
 }
