settings: odd files give findings, and addresses and names are checked

The daemon ended with a stack trace for a settings file that was nested deeply, held a control character, a second document or another version of YAML; port 0 or 99999 in a URL and control characters in names were accepted and failed later, with each request. Cause: only the YAML library's own exception was expected, and it may give column 0.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/settings/SettingsReader.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/settings/SettingsReader.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.nonEmptyListOf
 import arrow.core.right
@@ -9,6 +10,7 @@
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlException
 import com.charleskorn.kaml.YamlMap
+import com.charleskorn.kaml.YamlNode
 import dev.cardamomlane.core.AvailabilityZone
 import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.Finding
@@ -68,7 +70,7 @@
     ).also { node.finish() }
 
     private fun targetUser(node: SettingsNode) =
-        TargetUserSettings(name = name(node), password = node.text("password")).also { node.finish() }
+        TargetUserSettings(name = name(node), password = printable(node, "password")).also { node.finish() }
 
     private fun callers(node: SettingsNode): CallerSettings {
         val settings = CallerSettings(
@@ -110,16 +112,24 @@
     ).also { node.finish() }
 
     private fun name(node: SettingsNode, key: String = "name"): String {
-        val text = node.text(key)
+        val text = printable(node, key)
         if (text.isNotBlank()) return text
         if (node.isText(key)) node.reportAt(key, "must not be blank")
         return UNKNOWN_NAME
     }
 
+    /** Reads a text without control characters: a zero byte can't be sent to a target, a line break forges log lines. */
+    private fun printable(node: SettingsNode, key: String): String {
+        val text = node.text(key)
+        if (text.any { it.isISOControl() }) node.reportAt(key, "must not contain control characters")
+        return text
+    }
+
     private fun uri(node: SettingsNode, key: String): URI {
         val text = node.text(key)
         val uri = runCatching { URI(text) }.getOrNull()
-        if (uri?.host != null && uri.scheme in setOf("http", "https")) return uri
+        val isPortValid = uri != null && (uri.port == NO_PORT || uri.port in PORTS)
+        if (uri?.host != null && isPortValid && uri.scheme in setOf("http", "https")) return uri
         if (node.isText(key)) node.reportAt(key, "must be an http or https address but is \"$text\"")
         return URI("http://127.0.0.1:1")
     }
@@ -134,15 +144,15 @@
 
     internal companion object {
         private const val UNKNOWN_NAME = "unknown"
+
+        /** The port of a [URI] that gives none. */
+        private const val NO_PORT = -1
+        private val PORTS = 1..65_535
         private const val MEBIBYTE = 1 shl 20
 
         /** Reads [text] and returns its settings, or all findings if there are any. [file] is the name in findings. */
         fun read(file: String, text: String): Either<NonEmptyList<Finding>, Settings> {
-            val root = try {
-                Yaml.default.parseToYamlNode(text)
-            } catch (error: YamlException) {
-                return nonEmptyListOf(Finding(SourceLocation(file, error.line, error.column), error.message)).left()
-            }
+            val root = parse(file, text).getOrElse { return nonEmptyListOf(it).left() }
             if (root !is YamlMap) {
                 return nonEmptyListOf(
                     Finding(SourceLocation(file, 1, 1), "the file must hold sections"),
@@ -152,5 +162,18 @@
             val settings = reader.read(root)
             return reader.findings.toNonEmptyListOrNull()?.left() ?: settings.right()
         }
+
+        private fun parse(file: String, text: String): Either<Finding, YamlNode> = try {
+            Yaml.default.parseToYamlNode(text).right()
+        } catch (error: YamlException) {
+            // Some errors have no place, which the parser gives as 0.
+            val location = SourceLocation(file, error.line.coerceAtLeast(1), error.column.coerceAtLeast(1))
+            Finding(location, error.message).left()
+        } catch (error: RuntimeException) {
+            // The parser's own exceptions of the characters and the version of a file are no YamlException.
+            Finding(SourceLocation(file, 1, 1), "the file can't be parsed: ${error.message}").left()
+        } catch (_: StackOverflowError) {
+            Finding(SourceLocation(file, 1, 1), "the file is nested too deeply").left()
+        }
     }
 }
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/settings/SettingsReaderTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/settings/SettingsReaderTest.kt
@@ -68,6 +68,36 @@
             bad = "allowPlaintextKeys: maybe",
             finding = "16:32: callers.allowPlaintextKeys must be true or false but is \"maybe\"",
         ),
+        Defect(
+            good = "endpoint: http://127.0.0.1:9000",
+            bad = "endpoint: http://127.0.0.1:99999",
+            finding = "9:13: platform.endpoint must be an http or https address but is \"http://127.0.0.1:99999\"",
+        ),
+        Defect(
+            good = "endpoint: http://127.0.0.1:9000",
+            bad = "endpoint: http://127.0.0.1:0",
+            finding = "9:13: platform.endpoint must be an http or https address but is \"http://127.0.0.1:0\"",
+        ),
+        Defect(
+            good = "name: orders-1\n",
+            bad = "name: \"orders\\r\\n1\"\n",
+            finding = "18:11: databases[0].name must not contain control characters",
+        ),
+        Defect(
+            good = "password: p",
+            bad = "password: \"p\\0\"",
+            finding = "15:45: targetUser.password must not contain control characters",
+        ),
+        Defect(
+            good = "callerAddress: 127.0.0.1:6432",
+            bad = "callerAddress: 127.0.0.1:65536",
+            finding = "4:18: host.callerAddress must be an IP address and a port but is \"127.0.0.1:65536\"",
+        ),
+        Defect(
+            good = "heartbeatMillis: 250",
+            bad = "heartbeatMillis: 99999999999",
+            finding = "7:38: fleet.heartbeatMillis must be a whole number from 50 to 1000 but is \"99999999999\"",
+        ),
         Defect("slots: 5", "slot: 5", "20:82: unknown key databases[0].targets[0].slot"),
     )
 
@@ -100,4 +130,18 @@
     fun `reports broken YAML as one finding`() {
         assertEquals(1, findings("host: [").size)
     }
+
+    // These ended the daemon with a stack trace that names neither file nor line.
+    @TestFactory
+    fun `reports a file that the parser can't read as one finding`(): List<DynamicTest> = listOf(
+        "deeply nested lists" to "host: " + "[".repeat(60_000),
+        "deeply nested sections" to "{host: ".repeat(60_000),
+        "a control character" to "host: \u0007",
+        "a zero character" to "host: \u0000",
+        "two documents" to "--- a\n--- b",
+        "another version of YAML" to "%YAML 9.9\n---\nhost: a",
+        "an empty file" to "",
+    ).map { (name, text) ->
+        DynamicTest.dynamicTest(name) { assertEquals(1, findings(text).size, findings(text).toString()) }
+    }
 }
