session: a stop aborts busy transactions, begins nothing late and answers what is left

What callers saw: when a host was stopped, about half of the transactions that were open went on as if nothing had happened. A caller whose transaction was aborted between two statements got MALFORMED for its next one, which does not say that the transaction may be repeated.

Cause: GracefulStop aborted open transactions once, at half of the grace time, by CallerSession.abortTransaction, which did nothing while a statement was running, and nothing did so later. Nothing kept sessions with waiting statements, queued statements or retries from beginning new work up to the end. At the end the process ended with whatever was under way, and as soon as the last session had gone, possibly before the last answers to other hosts had been sent.

Change: SessionTransaction holds the transaction of a session. An abort between two statements rolls back at once, one beside a running statement at that statement's end, whose caller then gets ABORTED; a commit that was sent gets its true answer. What no target has got yet is ended at once as not run. From half of the grace time the host begins no operation, nor sends one that is queued or to be retried. 100 ms before the end what is still under way is answered: ABORTED, or outcome unknown for a write or commit that a target may have got. The host ends after it has been idle for one interval of 50 ms. This holds for operations on other hosts and for those that this host runs for others. The first statement after an abort between two statements gets ABORTED, later ones MALFORMED as before.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/GracefulStop.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/GracefulStop.kt
@@ -5,6 +5,8 @@
 import dev.cardamomlane.engine.forward.ForwardedOperations
 import dev.cardamomlane.engine.log.DecisionLog
 import dev.cardamomlane.engine.session.CallerSession
+import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.statement.StatementError
 
 /**
  * Stops a host without cutting off the statements of its callers.
@@ -28,6 +30,10 @@
     var isClosing = false
         private set
 
+    /** True once nothing is begun any more: what would be begun now might not end in time. */
+    var isEnding = false
+        private set
+
     /** Begins the stop, see [ProxyHost.stop]. Further calls have no effect. */
     fun start(graceMillis: Long, stopAccepting: () -> Unit, done: () -> Unit) {
         if (isStopping) return
@@ -40,26 +46,43 @@
             stopAccepting()
             sessions.toList().forEach { it.closeWhenIdle() }
         }
-        timers.after(graceMillis / 2) {
-            sessions.toList().forEach { it.abortTransaction(REASON) }
-            forwarded.abortTransactions(REASON)
-        }
+        timers.after(graceMillis / 2, ::endOperations)
+        timers.after(graceMillis - minOf(LAST_ANSWERS_MILLIS, graceMillis / 10), ::giveUp)
         finish(timers.nowMillis() + graceMillis, done)
     }
 
-    private fun finish(endMillis: Long, done: () -> Unit) {
-        val isDone = isClosing && sessions.isEmpty() && forwarded.isIdle
-        if (isDone || timers.nowMillis() >= endMillis) {
+    private fun endOperations() {
+        isEnding = true
+        val error = StatementError(ErrorCode.UNAVAILABLE, REASON)
+        sessions.toList().forEach { it.endOperation(error) }
+        forwarded.forEach { it.endOperation(error) }
+    }
+
+    private fun giveUp() {
+        val busyCount = sessions.count { !it.isIdle }
+        if (busyCount > 0) log.event("host", "out_of_time", "sessions", busyCount)
+        sessions.toList().forEach { it.giveUp(REASON) }
+        forwarded.forEach { it.giveUp(REASON) }
+    }
+
+    /** @param wasIdle true when nothing was under way one interval ago, so that the last answers have been sent */
+    private fun finish(endMillis: Long, done: () -> Unit, wasIdle: Boolean = false) {
+        val isIdle = isClosing && sessions.isEmpty() && forwarded.isIdle
+        val leftMillis = endMillis - timers.nowMillis()
+        if (isIdle && wasIdle || leftMillis <= 0) {
             log.event("host", "stopped", "sessions", sessions.size)
             return done()
         }
-        timers.after(POLL_INTERVAL_MILLIS) { finish(endMillis, done) }
+        timers.after(minOf(POLL_INTERVAL_MILLIS, leftMillis)) { finish(endMillis, done, isIdle) }
     }
 
     private companion object {
         const val REASON = "the host is stopping"
         const val POLL_INTERVAL_MILLIS = 50L
 
+        /** How long before its end a stopping host answers what is still under way, so that the answers are sent. */
+        const val LAST_ANSWERS_MILLIS = 100L
+
         /** How long a stopping host serves new callers, so that the load balancer can take it out. */
         const val STOP_ACCEPTING_DELAY_MILLIS = 2_200L
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -213,6 +213,8 @@
 
     private fun isClosing(): Boolean = stop.isClosing
 
+    override val startsOperations: Boolean get() = !stop.isEnding
+
     override fun group(id: DatabaseId): DatabaseGroup? = groups[id]
 
     override fun count(route: String, outcome: String, tookMillis: Long) {
@@ -273,8 +275,9 @@
     /**
      * Begins a graceful stop. Callers are served as before for a while, until the load balancer sends them to other
      * hosts. Then [stopAccepting] is called and sessions are closed as they become idle. Transactions that are still
-     * open after half of [graceMillis] are aborted. [done] is called when all sessions are closed or [graceMillis] have
-     * passed. Further calls have no effect.
+     * open after half of [graceMillis] are aborted, those with a statement under way at its end, and nothing new is begun.
+     * What is still under way shortly before the end of [graceMillis] is answered then. [done] is called when all sessions
+     * are closed or [graceMillis] have passed. Further calls have no effect.
      */
     public fun stop(graceMillis: Long, stopAccepting: () -> Unit, done: () -> Unit): Unit =
         stop.start(graceMillis, stopAccepting, done)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
@@ -62,9 +62,9 @@
         links.forEach { it.announceLeaving() }
     }
 
-    /** Aborts the open transactions, see [CallerSession.abortTransaction]. */
-    fun abortTransactions(reason: String) {
-        links.forEach { it.abortTransactions(reason) }
+    /** Calls [action] with each operation under way. */
+    fun forEach(action: (IncomingOperation) -> Unit) {
+        links.toList().forEach { it.forEach(action) }
     }
 
     companion object {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -87,8 +87,14 @@
         session?.let { sessions.close(it) }
     }
 
-    fun abortTransaction(reason: String) {
-        session?.abortTransaction(reason)
+    /** See [CallerSession.endOperation]. */
+    fun endOperation(error: StatementError) {
+        session?.endOperation(error)
+    }
+
+    /** See [CallerSession.giveUp]. */
+    fun giveUp(reason: String) {
+        session?.giveUp(reason)
     }
 
     override fun answer(answer: CallerAnswer) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
@@ -1,7 +1,6 @@
 package dev.cardamomlane.engine.forward
 
 import dev.cardamomlane.core.TimerService
-import dev.cardamomlane.engine.session.CallerSession
 
 /**
  * The operations that another host forwards to this one over one connection. Each runs in a session of its own.
@@ -55,9 +54,9 @@
         }
     }
 
-    /** Aborts the open transactions, see [CallerSession.abortTransaction]. */
-    fun abortTransactions(reason: String) {
-        operations.values.toList().forEach { it.abortTransaction(reason) }
+    /** Calls [action] with each operation under way. */
+    fun forEach(action: (IncomingOperation) -> Unit) {
+        operations.values.toList().forEach(action)
     }
 
     /** True when no operation is under way. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -1,7 +1,6 @@
 package dev.cardamomlane.engine.session
 
 import dev.cardamomlane.core.LogPosition
-import dev.cardamomlane.core.TimerSubscription
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.CallerAnswer
@@ -36,12 +35,11 @@
     private val prepared = HashMap<String, PreparedPlan>()
     private val pending = ArrayDeque<IncomingStatement>()
     private var current: IncomingStatement? = null
-    private var transaction: Transaction? = null
+    private var transaction: SessionTransaction? = null
     private var runningStatement: RunningStatement? = null
     private var lastCommit: LogPosition? = null
     private var isClosed = false
     private var isClosing = false
-    private var idleTimer: TimerSubscription? = null
 
     /** True when no statement runs or waits and no transaction is open. */
     public val isIdle: Boolean get() = current == null && transaction == null && pending.isEmpty()
@@ -98,10 +96,9 @@
     public fun onClosed() {
         if (isClosed) return
         isClosed = true
-        idleTimer?.cancel()
         pending.clear()
         runningStatement?.cancel()
-        transaction?.execution?.rollback()
+        transaction?.rollback()
         transaction = null
     }
 
@@ -111,18 +108,24 @@
         if (isIdle) end()
     }
 
-    /** Rolls back an open transaction, unless a statement is running. Later statements of it fail with [reason]. */
-    public fun abortTransaction(reason: String) {
-        val open = transaction ?: return
-        if (current != null) return
-        open.execution?.rollback()
-        transaction = open.failed(reason)
+    /**
+     * Ends the operation under way as soon as no target runs a statement of it. A statement that no target has got yet
+     * fails with [error] at once; a transaction is aborted, see [SessionTransaction.abort].
+     */
+    internal fun endOperation(error: StatementError) {
+        runningStatement?.endUnsent(error)
+        transaction?.abort(error.text)
+    }
+
+    /** Answers the statement under way now, without waiting for its target any longer. */
+    internal fun giveUp(reason: String) {
+        runningStatement?.giveUp(reason)
+        transaction?.giveUp(reason)
     }
 
     private fun end() {
         if (isClosed) return
         isClosed = true
-        idleTimer?.cancel()
         link.close()
     }
 
@@ -134,7 +137,6 @@
             return
         }
         if (pending.size == MAX_PENDING_STATEMENTS - 1) link.setReading(true)
-        idleTimer?.cancel()
         handle(incoming)
     }
 
@@ -144,22 +146,23 @@
             is Statement.Unreadable -> failMalformed(incoming, statement.reason)
             is Statement.Commit -> endTransaction(incoming, open, ::commit)
             is Statement.Rollback -> endTransaction(incoming, open, ::rollback)
-            else -> when {
-                open?.failure != null -> failMalformed(incoming, "the transaction failed: ${open.failure}")
-                else -> handleStatement(incoming, statement, open)
+            else -> {
+                val refusal = open?.refusal()
+                if (refusal != null) return answer(incoming, refusal, open.route)
+                handleStatement(incoming, statement, open)
             }
         }
     }
 
     private fun endTransaction(
         incoming: IncomingStatement,
-        open: Transaction?,
-        end: (IncomingStatement, Transaction) -> Unit,
+        open: SessionTransaction?,
+        end: (IncomingStatement, SessionTransaction) -> Unit,
     ) {
         if (open == null) failMalformed(incoming, "no transaction is open") else end(incoming, open)
     }
 
-    private fun handleStatement(incoming: IncomingStatement, statement: Statement, open: Transaction?) {
+    private fun handleStatement(incoming: IncomingStatement, statement: Statement, open: SessionTransaction?) {
         when (statement) {
             is Statement.SetValue -> {
                 values[statement.name] = statement.value
@@ -197,19 +200,16 @@
             context(incoming),
             statement.isReadOnly,
             onStarted = { execution ->
-                transaction = Transaction(execution, failure = null)
+                transaction = SessionTransaction(execution, services.timers)
                 succeed(incoming)
             },
             onRefused = { refuse(incoming, it) },
         )
     }
 
-    private fun run(incoming: IncomingStatement, statement: ResolvedStatement, open: Transaction?) {
-        val execution = open?.execution
-        if (execution != null) {
-            execution.run(statement, stateFor(statement)) { outcome ->
-                onTransactionOutcome(incoming, execution, outcome)
-            }
+    private fun run(incoming: IncomingStatement, statement: ResolvedStatement, open: SessionTransaction?) {
+        if (open != null) {
+            open.run(statement, stateFor(statement)) { outcome -> answer(incoming, outcome, open.route) }
             return
         }
         operations.startStatement(
@@ -236,27 +236,16 @@
         answer(incoming, outcome, route)
     }
 
-    private fun onTransactionOutcome(incoming: IncomingStatement, execution: OpenTransaction, outcome: Outcome) {
-        if (execution.isFailed) transaction = transaction?.failed(outcome.error?.text ?: "unknown")
-        answer(incoming, outcome, execution.route)
-    }
-
-    private fun commit(incoming: IncomingStatement, open: Transaction) {
-        val execution = open.execution
-        if (execution == null || open.failure != null) {
-            execution?.rollback()
-            transaction = null
-            return fail(incoming, ErrorCode.ABORTED, "the transaction failed and was rolled back")
-        }
-        execution.commit(incoming.id, SessionState(values, emptyList())) { outcome ->
+    private fun commit(incoming: IncomingStatement, open: SessionTransaction) {
+        open.commit(incoming.id, SessionState(values, emptyList())) { outcome ->
             transaction = null
             if (outcome.error == null) recordCommit(outcome.position)
-            answer(incoming, outcome, execution.route)
+            answer(incoming, outcome, open.route)
         }
     }
 
-    private fun rollback(incoming: IncomingStatement, open: Transaction) {
-        open.execution?.rollback()
+    private fun rollback(incoming: IncomingStatement, open: SessionTransaction) {
+        open.rollback()
         transaction = null
         succeed(incoming)
     }
@@ -311,33 +300,14 @@
         if (!isClosed) link.answer(answer)
         current = null
         if (isClosed) return
-        watchIdleTransaction()
+        transaction?.watchIdle(services.configuration.transactionIdleMillis)
         startNext()
     }
 
-    private fun watchIdleTransaction() {
-        if (transaction?.execution == null) return
-        idleTimer?.cancel()
-        idleTimer = services.timers.after(services.configuration.transactionIdleMillis) {
-            abortTransaction("the transaction was idle for too long")
-        }
-    }
-
-    private fun transactionState(): TransactionState {
-        val open = transaction ?: return TransactionState.IDLE
-        return if (open.failure == null) TransactionState.OPEN else TransactionState.FAILED
-    }
+    private fun transactionState(): TransactionState = transaction?.state ?: TransactionState.IDLE
 
     private class IncomingStatement(val id: String, val statement: Statement, val arrivedAtMillis: Long)
 
-    /** An open transaction. A failed one has no execution and only waits for the caller's commit or rollback. */
-    private class Transaction(val execution: OpenTransaction?, val failure: String?) {
-        fun failed(reason: String): Transaction {
-            execution?.rollback()
-            return Transaction(execution = null, failure = reason)
-        }
-    }
-
     public companion object {
         /** The customer name of callers without a key, which only public databases serve. */
         public const val ANONYMOUS_CUSTOMER: String = "-"
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OpenTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OpenTransaction.kt
@@ -17,4 +17,16 @@
 
     /** Rolls back without waiting for an answer. */
     fun rollback()
+
+    /**
+     * Ends the statement or commit under way with [ErrorCode.ABORTED][dev.cardamomlane.engine.statement.ErrorCode.ABORTED]
+     * and [reason] if it is known that no target has got it. Has no effect on another one.
+     */
+    fun endUnsent(reason: String)
+
+    /**
+     * Ends the statement or commit under way without waiting for its answer, and rolls back. The outcome of a commit that
+     * a target may have got is unknown.
+     */
+    fun giveUp(reason: String)
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
@@ -97,6 +97,9 @@
     )
 
     private fun withRoute(onRefused: (OperationRefusal) -> Unit, then: (Route, Customer?) -> Unit) {
+        if (!services.startsOperations) {
+            return onRefused(OperationRefusal(ErrorCode.UNAVAILABLE, "the host is stopping, not run"))
+        }
         val configuration = services.configuration
         val route = configuration.routes[database]
             ?: return onRefused(notAllowed(ErrorCode.UNKNOWN_DATABASE, "no database $database"))
@@ -147,7 +150,6 @@
         onRefused: (OperationRefusal) -> Unit,
         then: () -> Unit,
     ) {
-        if (!context.isWanted()) return
         val admission = customer?.let { services.gate.admit(it, route.priority, retriesLeft < MAX_RETRIES) }
             ?: Admission.Admitted
         if (admission !is Admission.Refused) return then()
@@ -156,7 +158,9 @@
             waitedMillis + admission.retryAfterMillis <= route.latencyGoalMillis / ADMISSION_WAIT_DIVISOR
         if (admission.reason == RefusalReason.OVER_RATE && isWithinLimit && retriesLeft > 0) {
             services.timers.after(maxOf(1, admission.retryAfterMillis)) {
-                admit(context, route, customer, retriesLeft - 1, onRefused, then)
+                if (context.isWanted()) {
+                    withRoute(onRefused) { _, _ -> admit(context, route, customer, retriesLeft - 1, onRefused, then) }
+                }
             }
             return
         }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
@@ -10,6 +10,7 @@
 import dev.cardamomlane.engine.forward.TransactionKind
 import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.statement.StatementError
 
 /**
  * Runs one statement outside a transaction on another host.
@@ -29,6 +30,7 @@
     private var isFinished = false
     private var mayHaveRun = false
     private var timer: TimerSubscription? = null
+    private var refusal: StatementError? = null
     private val isRead = statement.access == Access.READ
 
     /** Sends the statement. Calls `done` once, soon after the route's timeout at the latest, unless cancelled before. */
@@ -41,9 +43,15 @@
         finish(null)
     }
 
+    override fun endUnsent(error: StatementError) {
+        refusal = error
+    }
+
+    override fun giveUp(reason: String) = onTimeout()
+
     /** Sends the statement to the next member. Finishes when there is none and no attempt is under way. */
     private fun sendToNext() {
-        val connection = call.nextConnection()
+        val connection = if (refusal == null) call.nextConnection() else null
         if (connection != null) return Attempt(connection).also { attempts += it }.start()
         if (attempts.isEmpty()) finish(unserved())
     }
@@ -54,7 +62,8 @@
     }
 
     private fun unserved(): Outcome = when {
-        !mayHaveRun -> Outcome.error(ErrorCode.UNAVAILABLE, "no host can serve, not run")
+        !mayHaveRun -> refusal?.let { Outcome.error(it.code, it.text) }
+            ?: Outcome.error(ErrorCode.UNAVAILABLE, "no host can serve, not run")
         isRead -> Outcome.error(ErrorCode.TIMEOUT, "no answer in time")
         else -> Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the serving host's answer was lost")
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
@@ -36,6 +36,7 @@
     private var isOver = false
     private var sentValues: Map<String, String>? = null
     private var timer: TimerSubscription? = null
+    private var endReason: String? = null
 
     override fun run(statement: ResolvedStatement, state: SessionState, done: (Outcome) -> Unit) {
         val kind = if (statement.access == Access.READ) StepKind.READ else StepKind.WRITE
@@ -64,6 +65,7 @@
     }
 
     private fun sendToNext(step: Step) {
+        endReason?.let { return fail(step, it) }
         val next = call.nextConnection() ?: return deliverUnavailable()
         connection = next
         operation = next.start(this)
@@ -113,6 +115,14 @@
         if (step != null) deliver(lost(step, "the connection to the serving host was lost"))
     }
 
+    override fun endUnsent(reason: String) {
+        endReason = reason
+    }
+
+    override fun giveUp(reason: String) {
+        current?.let { fail(it, reason) }
+    }
+
     private fun fail(step: Step, reason: String) {
         if (current !== step) return
         val outcome = lost(step, reason)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SessionServices.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SessionServices.kt
@@ -23,6 +23,9 @@
     /** The newest configuration that this host knows. It may differ between two calls. */
     public val configuration: Configuration
 
+    /** False once this host stops and what begins now might not end in time. */
+    public val startsOperations: Boolean
+
     /** Returns the group with [id], or null when this host knows neither a target nor a configuration of it. */
     public fun group(id: DatabaseId): DatabaseGroup?
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -10,6 +10,7 @@
 import dev.cardamomlane.engine.group.WorkRunner
 import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.statement.StatementError
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.target.PooledConnection
 import dev.cardamomlane.engine.target.StatementEnd
@@ -38,11 +39,19 @@
     private var wasAnySent = false
     private var timer: TimerSubscription? = null
 
+    /** Why the statement is sent to no further target, or null while it may be. */
+    private var refusal: StatementError? = null
+    private var isQueued = false
+
+    /** True once an answer to the statement was lost. */
+    private var mayHaveRun = false
+
     /** Queues [work]. Calls `done` once, at the latest after the route's timeout, unless [cancel] ends it before. */
     fun start(work: Work) {
         this.work = work
         val timeoutMillis = route.timeoutMillis
-        timer = services.timers.after(timeoutMillis) { onTimeout() }
+        timer = services.timers.after(timeoutMillis) { giveUp("no answer in time") }
+        isQueued = true
         group.submit(work)
     }
 
@@ -52,14 +61,27 @@
     }
 
     override fun run(work: Work, target: Target, connection: PooledConnection, after: LogPosition?) {
-        if (isFinished) return connection.release()
+        isQueued = false
+        if (isFinished || refusal != null) return connection.release()
         Attempt(target, connection, after).also { attempts += it }.start()
     }
 
     override fun refuse(work: Work, code: ErrorCode, reason: String) {
+        isQueued = false
         if (attempts.isEmpty()) finish(Outcome.error(code, reason))
     }
 
+    override fun endUnsent(error: StatementError) {
+        refusal = error
+        if (isQueued && attempts.isEmpty()) finish(unserved(error))
+    }
+
+    private fun unserved(error: StatementError): Outcome = if (mayHaveRun) {
+        Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the target's answer was lost")
+    } else {
+        Outcome.error(error.code, error.text)
+    }
+
     private fun finish(outcome: Outcome?) {
         if (isFinished) return
         isFinished = true
@@ -68,21 +90,24 @@
         if (outcome != null) done(outcome)
     }
 
-    private fun onTimeout() {
+    override fun giveUp(reason: String) {
         if (isFinished) return
         for (attempt in attempts.toList()) attempt.discard(StatementEnd.Lost)
         finish(
             when {
                 !wasAnySent -> Outcome.error(ErrorCode.BUSY, "no target was free in time")
-                statement.access == Access.WRITE -> Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "no answer in time")
-                else -> Outcome.error(ErrorCode.TIMEOUT, "no answer in time")
+                statement.access == Access.WRITE -> Outcome.error(ErrorCode.OUTCOME_UNKNOWN, reason)
+                else -> Outcome.error(ErrorCode.TIMEOUT, reason)
             },
         )
     }
 
     private fun retry() {
         val work = work ?: return
-        if (!isFinished && attempts.isEmpty()) group.resubmit(work)
+        if (isFinished || attempts.isNotEmpty()) return
+        refusal?.let { return finish(unserved(it)) }
+        isQueued = true
+        group.resubmit(work)
     }
 
     private inner class Attempt(
@@ -105,7 +130,7 @@
             if (isComplete) return
             val mustBePrimary = after == null
             val isPrimaryLost = mustBePrimary && !group.isPrimaryUsable()
-            if (isPrimaryLost || !group.mayStart(target)) return retryElsewhere(NO_AVOID_MILLIS)
+            if (refusal != null || isPrimaryLost || !group.mayStart(target)) return retryElsewhere(NO_AVOID_MILLIS)
             isSent = true
             wasAnySent = true
             if (statement.access == Access.WRITE) group.writes.sent(this) else scheduleHedge()
@@ -115,7 +140,8 @@
         private fun scheduleHedge() {
             val delayMillis = maxOf(MIN_HEDGE_DELAY_MILLIS, (target.serviceMillis * HEDGE_SERVICE_TIME_FACTOR).toLong())
             services.timers.after(delayMillis) {
-                if (!isComplete && !isFinished && !isHedged) {
+                val isUnderWay = !isComplete && !isFinished
+                if (isUnderWay && !isHedged && refusal == null) {
                     isHedged = true
                     onOverdue()
                     work!!.avoid(target, services.timers.nowMillis() + route.timeoutMillis)
@@ -188,6 +214,7 @@
             if (isComplete) return
             complete(StatementEnd.Lost)
             connection.close()
+            mayHaveRun = mayHaveRun || isSent
             if (isSent && statement.access == Access.WRITE) {
                 finish(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the target's answer was lost"))
             } else {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -173,6 +173,7 @@
         if (!group.mayContinue(target)) return abort(DRAINED_REASON)
         val containsWrite = !isReadOnly && (hasWritten || step.statement?.access == Access.WRITE)
         if (containsWrite && !group.writes.mayCommit(target)) return abort("the primary is being replaced")
+        step.isSent = true
         val sentAtMillis = services.timers.nowMillis()
         val statement = step.statement
         val kind = when {
@@ -230,8 +231,9 @@
     }
 
     private fun abort(reason: String) {
+        val step = takeStep()
         end()
-        deliver(Outcome.error(ErrorCode.ABORTED, reason))
+        step?.done?.invoke(Outcome.error(ErrorCode.ABORTED, reason))
     }
 
     private fun end() {
@@ -251,24 +253,36 @@
 
     private fun onTimeout() {
         if (currentStep == null) return
+        if (isCommitSent || queued == null || pinned != null) return giveUp("no answer in time")
+        drop()
+        end()
+        deliver(Outcome.error(ErrorCode.BUSY, "no target was free in time"))
+    }
+
+    override fun endUnsent(reason: String) {
+        if (currentStep?.isSent == false) giveUp(reason)
+    }
+
+    override fun giveUp(reason: String) {
+        if (currentStep == null) return
+        drop()
+        if (isCommitSent) onConnectionLost() else abort(reason)
+    }
+
+    /** Takes the transaction out of the queue, and ends its begin. */
+    private fun drop() {
         queued?.end()
         starting?.close()
         group.writes.resolved(this)
-        when {
-            isCommitSent -> onConnectionLost()
-            queued != null && pinned == null -> {
-                end()
-                deliver(Outcome.error(ErrorCode.BUSY, "no target was free in time"))
-            }
-            else -> abort("no answer in time")
-        }
     }
 
     private fun deliver(outcome: Outcome) {
-        val step = currentStep ?: return
-        currentStep = null
+        takeStep()?.done?.invoke(outcome)
+    }
+
+    private fun takeStep(): Step? {
         timer?.cancel()
-        step.done(outcome)
+        return currentStep.also { currentStep = null }
     }
 
     /** A statement, or the commit when [statement] is null, that waits for its outcome. */
@@ -277,7 +291,10 @@
         val statement: ResolvedStatement?,
         val state: SessionState,
         val done: (Outcome) -> Unit,
-    )
+    ) {
+        /** True once a target may have got it. */
+        var isSent = false
+    }
 
     private companion object {
         const val DRAINED_REASON = "the target's zone is drained, or this host has lost contact with the others"
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -23,6 +23,12 @@
     /** Called with each write that a target commits. */
     var onCommit: (FakeTarget, String) -> Unit = { _, _ -> }
 
+    /** Called with each caller's statement and commit that a target begins to run, and how long it takes. */
+    var onBegin: (FakeLink, TargetStatement, Long) -> Unit = { _, _, _ -> }
+
+    /** Called with each caller's statement and commit whose connection is closed before its answer is due. */
+    var onCut: (FakeLink, TargetStatement) -> Unit = { _, _ -> }
+
     /** Every connection that was dialed, in order. */
     val links = ArrayList<FakeLink>()
 
@@ -34,19 +40,25 @@
     /** The dialer of one host, which [partitionedPaths] affect. Its connections carry nothing while not [isRunning]. */
     fun dialerFor(host: String, isRunning: () -> Boolean): TargetDialer = object : TargetDialer by this {
         override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
-            open(target, customerName, listener) { !isRunning() || "$host/${target.id.value}" in partitionedPaths }
+            open(target, customerName, listener, host) {
+                !isRunning() || "$host/${target.id.value}" in partitionedPaths
+            }
     }
 
     override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
-        open(target, customerName, listener) { false }
+        open(target, customerName, listener, host = "") { false }
 
     private fun open(
         target: TargetEntry,
         customerName: String,
         listener: TargetLinkListener,
+        host: String,
         isPartitioned: () -> Boolean,
     ): FakeLink {
-        val link = FakeLink(target(target.id.value), customerName, listener, timers, onRun, onCommit, isPartitioned)
+        val link =
+            FakeLink(target(target.id.value), customerName, listener, timers, onRun, onCommit, isPartitioned, host)
+        link.onBegin = { statement, millis -> onBegin(link, statement, millis) }
+        link.onCut = { onCut(link, it) }
         links += link
         link.open()
         return link
@@ -71,6 +83,7 @@
  * @property isDown true while the target accepts no connections and can't be promoted
  * @property isSilent true while the target keeps connections open but answers nothing
  * @property answersInMillis how long each statement takes
+ * @property durationMillis how long one statement takes, when that differs between statements
  * @property ran the callers' statements, commits and rollbacks that ran, in order
  */
 class FakeTarget(val id: String) {
@@ -79,6 +92,7 @@
     var isSilent = false
     var position = LogPosition(1, 1)
     var answersInMillis = 5L
+    var durationMillis: (TargetStatement) -> Long = { answersInMillis }
     val ran = ArrayList<String>()
 
     /** The committed writes, in the order of the log. */
@@ -94,7 +108,7 @@
     var lostAnswers = 0
 }
 
-/** One connection to a [FakeTarget]. */
+/** One connection of [host] to a [FakeTarget]. */
 class FakeLink(
     val target: FakeTarget,
     val customerName: String,
@@ -103,13 +117,23 @@
     private val onRun: (FakeTarget, String) -> Unit = { _, _ -> },
     private val onCommit: (FakeTarget, String) -> Unit = { _, _ -> },
     private val isPartitioned: () -> Boolean = { false },
+    val host: String = "",
 ) : TargetLink {
+    var onBegin: (TargetStatement, Long) -> Unit = { _, _ -> }
+    var onCut: (TargetStatement) -> Unit = {}
+    private val underWay = ArrayList<TargetStatement>()
     private var isClosed = false
     private var state = TransactionState.IDLE
     private val openWrites = ArrayList<String>()
+
+    /** True while a transaction is open at the target. */
+    val isInTransaction: Boolean get() = !isClosed && state != TransactionState.IDLE
     val values = HashMap<String, String>()
     val sent = ArrayList<TargetStatement>()
 
+    /** The statements that were refused or have their answers lost. */
+    val unserved = ArrayList<TargetStatement>()
+
     fun open() {
         timers.after(CONNECT_MILLIS) {
             if (isClosed || target.isSilent || isPartitioned()) return@after
@@ -126,7 +150,13 @@
 
     override fun send(statement: TargetStatement) {
         sent += statement
-        timers.after(target.answersInMillis) {
+        val millis = target.durationMillis(statement)
+        if (statement.hasCallersId()) {
+            underWay += statement
+            onBegin(statement, millis)
+        }
+        timers.after(millis) {
+            underWay -= statement
             if (!isClosed && !target.isSilent && !isPartitioned()) answer(statement)
         }
     }
@@ -134,20 +164,24 @@
     private fun answer(statement: TargetStatement) {
         val refusal =
             if (statement.hasCallersId()) target.refusals.removeFirstOrNull() ?: target.refusesWith else null
-        if (refusal != null) return reply(error = StatementError(refusal, "test"))
+        if (refusal != null) return refuse(statement, refusal)
         val after = statement.after()
-        if (after != null && target.position < after) return reply(error = StatementError(ErrorCode.LAGGING, "test"))
-        if (statement.needsPrimary() && !target.isPrimary) {
-            return reply(error = StatementError(ErrorCode.READ_ONLY, "test"))
-        }
+        if (after != null && target.position < after) return refuse(statement, ErrorCode.LAGGING)
+        if (statement.needsPrimary() && !target.isPrimary) return refuse(statement, ErrorCode.READ_ONLY)
         run(statement)
         if (statement.hasCallersId() && target.lostAnswers > 0) {
             target.lostAnswers--
+            unserved += statement
             return
         }
         reply(digest = "digest", rows = rows(statement))
     }
 
+    private fun refuse(statement: TargetStatement, code: ErrorCode) {
+        unserved += statement
+        reply(error = StatementError(code, "test"))
+    }
+
     private fun run(statement: TargetStatement) {
         when (statement) {
             is TargetStatement.Run -> runText(statement.text)
@@ -207,7 +241,9 @@
     }
 
     override fun close() {
+        if (isClosed) return
         isClosed = true
+        underWay.forEach(onCut)
     }
 
     /** True for the statements that carry the id of a caller's statement. */
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -44,6 +44,7 @@
     private val drains: ZoneDrains? = null,
     private val warmUpMillis: Long = 0,
     private val warmUpPerSecond: Int = 0,
+    private val maxConnections: Int = 40,
     private val log: DecisionLog = DecisionLog.None,
 ) {
     val timers = ManualTimerService()
@@ -109,6 +110,13 @@
         start(runningHosts[index])
     }
 
+    /** Ends the process of host [index], as its own exit does. */
+    fun end(index: Int) {
+        val name = "host-$index"
+        processes.getValue(name).stop()
+        links.disconnect(name)
+    }
+
     private fun host(name: String, incarnation: Long): ProxyHost {
         val process = StoppableTimers(timers)
         processes[name] = process
@@ -168,18 +176,21 @@
         onPromoted(target)
     }
 
+    /** @param customers the name of the customer that holds each key */
     fun configuration(
         version: Long,
         key: String = "key",
         databases: Set<String> = setOf("latest", "bounded", "session"),
+        customers: Map<String, String> = mapOf(key to "press"),
     ) = Configuration(
         version = version,
         routes = databases.associateWith(::route).toImmutableMap(),
-        customersByKey = mapOf(key to Customer(CustomerId("press"), Allowance(1_000.0, 1_000.0))).toImmutableMap(),
+        customersByKey = customers.mapValues { (_, name) -> Customer(CustomerId(name), Allowance(1_000.0, 1_000.0)) }
+            .toImmutableMap(),
         groups = mapOf(
             DatabaseId("g") to GroupPolicy(
                 group = DatabaseId("g"),
-                maxConnections = 40,
+                maxConnections = maxConnections,
                 isReplicatedBeforeAcknowledged = isReplicatedBeforeAcknowledged,
                 warmUpMillis = warmUpMillis,
                 warmUpPerSecond = warmUpPerSecond,
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -302,6 +302,54 @@
         assertTrue(isStopped)
     }
 
+    /** Guards against a transaction that goes on through a stop because a statement ran when transactions were aborted. */
+    @Test
+    fun `a transaction with a statement under way at half of the grace time is aborted at that statement's end`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.answersInMillis = 600
+        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) {}
+        fixture.timers.advance(2_300)
+
+        val answer = fixture.ask(session, caller, read, millis = 601)
+
+        assertEquals(ErrorCode.ABORTED, code(answer))
+        assertEquals(TransactionState.FAILED, answer?.state)
+        assertEquals(TransactionState.IDLE, fixture.ask(session, caller, Statement.Rollback, millis = 600)?.state)
+        assertTrue(caller.isClosed)
+        assertEquals(listOf("WRITE 1 x", "READ 1", "ROLLBACK"), primary.ran)
+    }
+
+    /** Guards against a stop that ends with a commit under way, whose caller learns nothing. */
+    @Test
+    fun `a commit without an answer shortly before the end of a stop has an unknown outcome`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.isSilent = true
+        fixture.hosts[0].stop(graceMillis = 1_000, stopAccepting = {}) {}
+        session.onStatement("c", Statement.Commit)
+
+        fixture.timers.advance(950)
+
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, code(caller.answers.last()))
+    }
+
+    /** Guards against a caller that does not learn why its transaction is gone, nor that it may be repeated. */
+    @Test
+    fun `the first statement after an abort between two statements is answered with it`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) {}
+        fixture.timers.advance(2_600)
+        assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
+
+        assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, read)))
+        assertEquals(ErrorCode.MALFORMED, code(fixture.ask(session, caller, read)))
+    }
+
     @Test
     fun `a stopping host answers or refuses every late caller before it ends`() {
         var isAccepting = true
