session: a withdrawn key ends open transactions within a second

Another session with the same key was refused at once.

Cause: OperationStarter looks up key and route when an operation begins. Later statements and the commit of a transaction never looked at the configuration again, and ProxyHost.configure ended nothing.

Change: a new configuration ends what runs under a key that it gives to nobody or to another customer, on the host of the caller and on the one that runs the operation, whichever knows first. Between two statements the transaction is rolled back at once and the next statement gets ABORTED, since a message without a request would make the caller close. A statement that a target runs may end within a second, or else the connection is closed, which rolls back; the caller gets ABORTED with the reason. A commit that was sent gets its true answer; one that was not is aborted. A queued statement outside a transaction is refused as unauthorized. A dropped or changed route applies from the next transaction on, as before.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -183,10 +183,17 @@
             "configuration", "in_force", "version", newer.version, "before", before.version,
             "routes", newer.routes.size, "customers", newer.customersByKey.values.distinct().size,
         )
+        endWithdrawnOperations()
         updateGroups()
         openWaitingSessions()
     }
 
+    private fun endWithdrawnOperations() {
+        var count = sessions.toList().count { it.endIfKeyWithdrawn() }
+        forwarded.forEach { if (it.endIfKeyWithdrawn()) count++ }
+        if (count > 0) log.event("configuration", "key_withdrawn", "operations", count)
+    }
+
     /** Takes over the platform's list of targets as of [position] of the store, unless a newer one is known. */
     public fun updateTargets(list: List<TargetEntry>, position: StorePosition): Unit = targetList.update(list, position)
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -92,6 +92,9 @@
         session?.endOperation(error)
     }
 
+    /** See [CallerSession.endIfKeyWithdrawn]. */
+    fun endIfKeyWithdrawn(): Boolean = session?.endIfKeyWithdrawn() ?: false
+
     /** See [CallerSession.giveUp]. */
     fun giveUp(reason: String) {
         session?.giveUp(reason)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -117,6 +117,18 @@
         transaction?.abort(error.text)
     }
 
+    /**
+     * Ends the operation under way if the newest configuration gives its key to nobody or to another customer. A
+     * transaction is rolled back within a second. Returns true if there was such an operation.
+     */
+    internal fun endIfKeyWithdrawn(): Boolean {
+        val withdrawnStatement = runningStatement?.takeUnless(operations::mayGoOn)
+        val withdrawnTransaction = transaction?.takeUnless(operations::mayGoOn)
+        withdrawnStatement?.endUnsent(StatementError(ErrorCode.UNAUTHORIZED, KEY_WITHDRAWN))
+        withdrawnTransaction?.abort(KEY_WITHDRAWN, withinMillis = WITHDRAWN_KEY_MILLIS)
+        return withdrawnStatement != null || withdrawnTransaction != null
+    }
+
     /** Answers the statement under way now, without waiting for its target any longer. */
     internal fun giveUp(reason: String) {
         runningStatement?.giveUp(reason)
@@ -312,5 +324,12 @@
         /** The customer name of callers without a key, which only public databases serve. */
         public const val ANONYMOUS_CUSTOMER: String = "-"
         private const val MAX_PENDING_STATEMENTS = 32
+        private const val KEY_WITHDRAWN = "the key is not valid any more"
+
+        /**
+         * How long a statement of a transaction may run on after its key was withdrawn. Leaves two of the three seconds in
+         * which a configuration is to apply for the host to learn of it.
+         */
+        private const val WITHDRAWN_KEY_MILLIS = 1_000L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OpenTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OpenTransaction.kt
@@ -1,11 +1,7 @@
 package dev.cardamomlane.engine.session
 
-import dev.cardamomlane.engine.config.Route
-
 /** A transaction of a caller, which runs on this host or on another one. */
-internal interface OpenTransaction {
-    val route: Route
-
+internal interface OpenTransaction : Operation {
     /** True once the transaction has failed, so that it can only be ended. */
     val isFailed: Boolean
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
@@ -70,7 +70,8 @@
             execution.start()
         } else {
             admitHere(context, route, customer, onRefused) { group ->
-                val execution = StatementExecution(services, group, route, statement) { done(route, it) }
+                val execution =
+                    StatementExecution(services, group, route, nameOf(customer), statement) { done(route, it) }
                 onStarted(execution)
                 execution.start(work(context, route, customer, statement, state, execution))
             }
@@ -110,6 +111,10 @@
         then(route, customer)
     }
 
+    /** True when the newest configuration lets [operation] go on: the key is still its customer's, or needs not be. */
+    fun mayGoOn(operation: Operation): Boolean = operation.route.isPublic ||
+        nameOf(key?.let { services.configuration.customersByKey[it] }) == operation.customerName
+
     private fun notAllowed(code: ErrorCode, text: String) = OperationRefusal(code, text, endsSession = true)
 
     private fun isRemote(customer: Customer?): Boolean =
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.session
 
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.forward.HostConnection
 import dev.cardamomlane.engine.forward.OperationAnswer
 import dev.cardamomlane.engine.forward.OperationListener
@@ -25,6 +26,9 @@
     private val state: SessionState,
     private val done: (Outcome) -> Unit,
 ) : RunningStatement {
+    override val route: Route get() = call.route
+
+    override val customerName: String get() = call.customerName
     private val timers = call.services.timers
     private val attempts = LinkedHashSet<Attempt>()
     private var isFinished = false
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
@@ -24,6 +24,8 @@
     OperationListener {
     override val route: Route get() = call.route
 
+    override val customerName: String get() = call.customerName
+
     override var isFailed = false
         private set
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RunningStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RunningStatement.kt
@@ -3,7 +3,7 @@
 import dev.cardamomlane.engine.statement.StatementError
 
 /** A statement outside a transaction that has no outcome yet. */
-internal interface RunningStatement {
+internal interface RunningStatement : Operation {
     /** Drops the statement if it was not sent to a target yet, as its caller has left. */
     fun cancel()
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SessionTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/SessionTransaction.kt
@@ -2,7 +2,6 @@
 
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.TimerSubscription
-import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.TransactionState
 
@@ -14,14 +13,15 @@
  *
  * Not safe for use by several threads.
  */
-internal class SessionTransaction(private val execution: OpenTransaction, private val timers: TimerService) {
-    val route: Route get() = execution.route
+internal class SessionTransaction(private val execution: OpenTransaction, private val timers: TimerService) :
+    Operation by execution {
 
     val state: TransactionState get() = if (failure == null) TransactionState.OPEN else TransactionState.FAILED
 
     private var failure: String? = null
     private var isCallerTold = false
     private var isRunning = false
+    private var isCommitting = false
     private var abortReason: String? = null
     private var idleTimer: TimerSubscription? = null
 
@@ -45,6 +45,7 @@
             return done(Outcome.error(ErrorCode.ABORTED, "the transaction failed and was rolled back: $failure"))
         }
         start()
+        isCommitting = true
         execution.commit(id, state, done)
     }
 
@@ -56,12 +57,15 @@
 
     /**
      * Rolls the transaction back: at once between two statements, or else as soon as the statement that a target runs has
-     * its outcome. Then the caller gets [ErrorCode.ABORTED] instead. A commit that was sent gets its true answer.
+     * its outcome, but not later than [withinMillis] if that is given. Then the caller gets [ErrorCode.ABORTED] instead.
+     * A commit that was sent gets its true answer.
      */
-    fun abort(reason: String) {
+    fun abort(reason: String, withinMillis: Long? = null) {
         if (failure != null) return
         abortReason = reason
-        if (isRunning) execution.endUnsent(reason) else fail(reason)
+        if (!isRunning) return fail(reason)
+        execution.endUnsent(reason)
+        if (withinMillis != null) timers.after(withinMillis) { if (!isCommitting) giveUp(reason) }
     }
 
     /** Ends a statement or commit that is under way without waiting for its answer. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -26,7 +26,8 @@
 internal class StatementExecution(
     private val services: SessionServices,
     private val group: DatabaseGroup,
-    private val route: Route,
+    override val route: Route,
+    override val customerName: String,
     private val statement: ResolvedStatement,
     private val done: (Outcome) -> Unit,
 ) : WorkRunner,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -28,7 +28,7 @@
     private val group: DatabaseGroup,
     override val route: Route,
     val isReadOnly: Boolean,
-    private val customerName: String,
+    override val customerName: String,
     private val ownPosition: LogPosition?,
     private val startedAtMillis: Long,
 ) : OpenTransaction,
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -45,6 +45,7 @@
     private val warmUpMillis: Long = 0,
     private val warmUpPerSecond: Int = 0,
     private val maxConnections: Int = 40,
+    private val timeoutMillis: Long = 1_000,
     private val log: DecisionLog = DecisionLog.None,
 ) {
     val timers = ManualTimerService()
@@ -208,7 +209,7 @@
             else -> Consistency.LATEST
         },
         maxStaleMillis = 1_500,
-        timeoutMillis = 1_000,
+        timeoutMillis = timeoutMillis,
         latencyGoalMillis = 400,
         priority = 1,
         isPublic = false,
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -269,6 +269,29 @@
         assertEquals("digest", answer?.digest)
     }
 
+    /** Guards against a forwarded transaction that goes on because only one of its two hosts knows the configuration. */
+    @Test
+    fun `a withdrawn key ends a forwarded transaction as soon as either host knows of it`() {
+        for (isKnownToForwarder in listOf(true, false)) {
+            val fixture = HostFixture(hostCount = HOSTS, settleMillis = 3_000)
+            val primary = fixture.targets.target("p")
+            val caller = FakeCaller()
+            val session = fixture.open(caller, "latest", forwarder)
+            fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+            fixture.ask(session, caller, write)
+            val newer = fixture.configuration(version = 2, key = "new")
+
+            fixture.hosts.filterIndexed { index, _ -> (index == forwarder) == isKnownToForwarder }
+                .forEach { it.configure(newer) }
+            fixture.timers.advance(20)
+
+            assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran, "isKnownToForwarder: $isKnownToForwarder")
+            val answer = fixture.ask(session, caller, write)
+            assertEquals(ErrorCode.ABORTED, answer?.error?.code)
+            assertEquals(TransactionState.FAILED, answer?.state)
+        }
+    }
+
     private companion object {
         /** Enough for the first read of the store, a query and its answer. */
         const val START_MILLIS = 50L
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -91,6 +91,71 @@
         assertTrue(primary.ran.isEmpty())
     }
 
+    /** Guards against a transaction that goes on, and commits, under a key that was withdrawn. */
+    @Test
+    fun `a withdrawn key ends an open transaction with a rollback at once, and the session at its next operation`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.hosts[0].configure(fixture.configuration(version = 2, key = "new"))
+        fixture.timers.advance(10)
+
+        assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
+        assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, write)))
+        assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, Statement.Commit)))
+        assertEquals(ErrorCode.UNAUTHORIZED, code(fixture.ask(session, caller, read)))
+        assertTrue(caller.isClosed)
+    }
+
+    /** Guards against a commit that is answered as not run although its target makes it. */
+    @Test
+    fun `a commit that was sent before the key was withdrawn gets its true answer`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.answersInMillis = 900
+        session.onStatement("c", Statement.Commit)
+        fixture.timers.advance(10)
+
+        fixture.hosts[0].configure(fixture.configuration(version = 2, key = "new"))
+        fixture.timers.advance(900)
+
+        assertNull(caller.answers.last().error)
+        assertEquals(listOf("WRITE 1 x"), primary.log)
+    }
+
+    /** Guards against a slow statement that keeps the transaction of a withdrawn key open beyond the bound. */
+    @Test
+    fun `a slow statement of a transaction is cut off a second after its key was withdrawn`() {
+        val fixture = HostFixture(timeoutMillis = 3_000)
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        fixture.targets.target("p").answersInMillis = 2_900
+        session.onStatement("r", read)
+        fixture.timers.advance(10)
+
+        fixture.hosts[0].configure(fixture.configuration(version = 2, key = "new"))
+        fixture.timers.advance(1_000)
+
+        assertEquals(ErrorCode.ABORTED, code(caller.answers.last()))
+        assertTrue(fixture.targets.links.none { it.isInTransaction })
+    }
+
+    @Test
+    fun `a transaction goes on when its database is removed or changed, and the next one is refused`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.hosts[0].configure(fixture.configuration(version = 2, databases = setOf("bounded")))
+
+        assertNull(fixture.ask(session, caller, write)?.error)
+        assertNull(fixture.ask(session, caller, Statement.Commit)?.error)
+        assertEquals(ErrorCode.UNKNOWN_DATABASE, code(fixture.ask(session, caller, read)))
+    }
+
     @Test
     fun `an operation of an open session whose database was removed is refused`() {
         val session = fixture.open(caller)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SessionSchedule.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SessionSchedule.kt
@@ -11,7 +11,12 @@
  */
 abstract class SessionSchedule(seed: Long) {
     protected val random = Random(seed)
-    protected val fixture = HostFixture(hostCount = HOSTS, maxConnections = if (random.nextBoolean()) 8 else 40)
+    protected val timeoutMillis = listOf(1_000L, 3_000L).random(random)
+    protected val fixture = HostFixture(
+        hostCount = HOSTS,
+        maxConnections = if (random.nextBoolean()) 8 else 40,
+        timeoutMillis = timeoutMillis,
+    )
     protected val timers = fixture.timers
 
     /** True when nothing happens but what the schedule is about. */
@@ -19,7 +24,7 @@
     protected val begun = ArrayList<BegunStatement>()
     protected val linkCutsMillis = ArrayList<Long>()
     private val pauseMillis = listOf(1..40, 50..400, 200..1_400).random(random)
-    private val slowMillis = listOf(100, 400, ROUTE_TIMEOUT_MILLIS - 50).random(random)
+    private val slowMillis = listOf(100L, 400L, timeoutMillis - 50).random(random)
     private val slowShare = listOf(0.1, 0.5, 1.0).random(random)
 
     protected lateinit var callers: List<ScheduledCaller>
@@ -66,7 +71,7 @@
 
     private fun durationMillis(statement: TargetStatement): Long {
         val mayBeSlow = statement is TargetStatement.Run || statement is TargetStatement.Commit
-        return if (mayBeSlow && random.nextDouble() < slowShare) random.nextLong(1, slowMillis + 1L) else FAST_MILLIS
+        return if (mayBeSlow && random.nextDouble() < slowShare) random.nextLong(1, slowMillis + 1) else FAST_MILLIS
     }
 
     private fun idOf(statement: TargetStatement): String = when (statement) {
@@ -119,7 +124,6 @@
     protected companion object {
         const val HOSTS = 3
         const val CALLERS = 12
-        const val ROUTE_TIMEOUT_MILLIS = 1_000
         const val REPLICATION_MILLIS = 30L
         const val FAST_MILLIS = 5L
         const val DISTURBED_MILLIS = 6_000L
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/StopSchedule.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/StopSchedule.kt
@@ -59,7 +59,7 @@
     private fun isExcused(statement: BegunStatement, sent: SentStatement): Boolean =
         sent.isLeft || statement.statement in statement.link.unserved ||
             linkCutsMillis.any { it in sent.sentAtMillis - LINK_MILLIS..statement.endMillis + LINK_MILLIS } ||
-            statement.endMillis + LINK_MILLIS >= sent.sentAtMillis + ROUTE_TIMEOUT_MILLIS
+            statement.endMillis + LINK_MILLIS >= sent.sentAtMillis + timeoutMillis
 
     private companion object {
         /** A margin for the ways between caller, hosts and target. */
