--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -183,10 +183,17 @@
             "configuration", "in_force", "version", newer.version, "before", before.version,
             "routes", newer.routes.size, "customers", newer.customersByKey.values.distinct().size,
         )
+        endWithdrawnOperations()
         updateGroups()
         openWaitingSessions()
     }
 
+    private fun endWithdrawnOperations() {
+        var count = sessions.toList().count { it.endIfKeyWithdrawn() }
+        forwarded.forEach { if (it.endIfKeyWithdrawn()) count++ }
+        if (count > 0) log.event("configuration", "key_withdrawn", "operations", count)
+    }
+
     /** Takes over the platform's list of targets as of [position] of the store, unless a newer one is known. */
     public fun updateTargets(list: List<TargetEntry>, position: StorePosition): Unit = targetList.update(list, position)
 
@@ -213,6 +220,8 @@
 
     private fun isClosing(): Boolean = stop.isClosing
 
+    override val startsOperations: Boolean get() = !stop.isEnding
+
     override fun group(id: DatabaseId): DatabaseGroup? = groups[id]
 
     override fun count(route: String, outcome: String, tookMillis: Long) {
@@ -273,8 +282,9 @@
     /**
      * Begins a graceful stop. Callers are served as before for a while, until the load balancer sends them to other
      * hosts. Then [stopAccepting] is called and sessions are closed as they become idle. Transactions that are still
-     * open after half of [graceMillis] are aborted. [done] is called when all sessions are closed or [graceMillis] have
-     * passed. Further calls have no effect.
+     * open after half of [graceMillis] are aborted, those with a statement under way at its end, and nothing new is begun.
+     * What is still under way shortly before the end of [graceMillis] is answered then. [done] is called when all sessions
+     * are closed or [graceMillis] have passed. Further calls have no effect.
      */
     public fun stop(graceMillis: Long, stopAccepting: () -> Unit, done: () -> Unit): Unit =
         stop.start(graceMillis, stopAccepting, done)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
@@ -70,7 +70,8 @@
             execution.start()
         } else {
             admitHere(context, route, customer, onRefused) { group ->
-                val execution = StatementExecution(services, group, route, statement) { done(route, it) }
+                val execution =
+                    StatementExecution(services, group, route, nameOf(customer), statement) { done(route, it) }
                 onStarted(execution)
                 execution.start(work(context, route, customer, statement, state, execution))
             }
@@ -97,6 +98,9 @@
     )
 
     private fun withRoute(onRefused: (OperationRefusal) -> Unit, then: (Route, Customer?) -> Unit) {
+        if (!services.startsOperations) {
+            return onRefused(OperationRefusal(ErrorCode.UNAVAILABLE, "the host is stopping, not run"))
+        }
         val configuration = services.configuration
         val route = configuration.routes[database]
             ?: return onRefused(notAllowed(ErrorCode.UNKNOWN_DATABASE, "no database $database"))
@@ -107,6 +111,10 @@
         then(route, customer)
     }
 
+    /** True when the newest configuration lets [operation] go on: the key is still its customer's, or needs not be. */
+    fun mayGoOn(operation: Operation): Boolean = operation.route.isPublic ||
+        nameOf(key?.let { services.configuration.customersByKey[it] }) == operation.customerName
+
     private fun notAllowed(code: ErrorCode, text: String) = OperationRefusal(code, text, endsSession = true)
 
     private fun isRemote(customer: Customer?): Boolean =
@@ -147,7 +155,6 @@
         onRefused: (OperationRefusal) -> Unit,
         then: () -> Unit,
     ) {
-        if (!context.isWanted()) return
         val admission = customer?.let { services.gate.admit(it, route.priority, retriesLeft < MAX_RETRIES) }
             ?: Admission.Admitted
         if (admission !is Admission.Refused) return then()
@@ -156,7 +163,9 @@
             waitedMillis + admission.retryAfterMillis <= route.latencyGoalMillis / ADMISSION_WAIT_DIVISOR
         if (admission.reason == RefusalReason.OVER_RATE && isWithinLimit && retriesLeft > 0) {
             services.timers.after(maxOf(1, admission.retryAfterMillis)) {
-                admit(context, route, customer, retriesLeft - 1, onRefused, then)
+                if (context.isWanted()) {
+                    withRoute(onRefused) { _, _ -> admit(context, route, customer, retriesLeft - 1, onRefused, then) }
+                }
             }
             return
         }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -91,6 +91,71 @@
         assertTrue(primary.ran.isEmpty())
     }
 
+    /** Guards against a transaction that goes on, and commits, under a key that was withdrawn. */
+    @Test
+    fun `a withdrawn key ends an open transaction with a rollback at once, and the session at its next operation`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.hosts[0].configure(fixture.configuration(version = 2, key = "new"))
+        fixture.timers.advance(10)
+
+        assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
+        assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, write)))
+        assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, Statement.Commit)))
+        assertEquals(ErrorCode.UNAUTHORIZED, code(fixture.ask(session, caller, read)))
+        assertTrue(caller.isClosed)
+    }
+
+    /** Guards against a commit that is answered as not run although its target makes it. */
+    @Test
+    fun `a commit that was sent before the key was withdrawn gets its true answer`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.answersInMillis = 900
+        session.onStatement("c", Statement.Commit)
+        fixture.timers.advance(10)
+
+        fixture.hosts[0].configure(fixture.configuration(version = 2, key = "new"))
+        fixture.timers.advance(900)
+
+        assertNull(caller.answers.last().error)
+        assertEquals(listOf("WRITE 1 x"), primary.log)
+    }
+
+    /** Guards against a slow statement that keeps the transaction of a withdrawn key open beyond the bound. */
+    @Test
+    fun `a slow statement of a transaction is cut off a second after its key was withdrawn`() {
+        val fixture = HostFixture(timeoutMillis = 3_000)
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        fixture.targets.target("p").answersInMillis = 2_900
+        session.onStatement("r", read)
+        fixture.timers.advance(10)
+
+        fixture.hosts[0].configure(fixture.configuration(version = 2, key = "new"))
+        fixture.timers.advance(1_000)
+
+        assertEquals(ErrorCode.ABORTED, code(caller.answers.last()))
+        assertTrue(fixture.targets.links.none { it.isInTransaction })
+    }
+
+    @Test
+    fun `a transaction goes on when its database is removed or changed, and the next one is refused`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+
+        fixture.hosts[0].configure(fixture.configuration(version = 2, databases = setOf("bounded")))
+
+        assertNull(fixture.ask(session, caller, write)?.error)
+        assertNull(fixture.ask(session, caller, Statement.Commit)?.error)
+        assertEquals(ErrorCode.UNKNOWN_DATABASE, code(fixture.ask(session, caller, read)))
+    }
+
     @Test
     fun `an operation of an open session whose database was removed is refused`() {
         val session = fixture.open(caller)
@@ -302,6 +367,54 @@
         assertTrue(isStopped)
     }
 
+    /** Guards against a transaction that goes on through a stop because a statement ran when transactions were aborted. */
+    @Test
+    fun `a transaction with a statement under way at half of the grace time is aborted at that statement's end`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.answersInMillis = 600
+        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) {}
+        fixture.timers.advance(2_300)
+
+        val answer = fixture.ask(session, caller, read, millis = 601)
+
+        assertEquals(ErrorCode.ABORTED, code(answer))
+        assertEquals(TransactionState.FAILED, answer?.state)
+        assertEquals(TransactionState.IDLE, fixture.ask(session, caller, Statement.Rollback, millis = 600)?.state)
+        assertTrue(caller.isClosed)
+        assertEquals(listOf("WRITE 1 x", "READ 1", "ROLLBACK"), primary.ran)
+    }
+
+    /** Guards against a stop that ends with a commit under way, whose caller learns nothing. */
+    @Test
+    fun `a commit without an answer shortly before the end of a stop has an unknown outcome`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.isSilent = true
+        fixture.hosts[0].stop(graceMillis = 1_000, stopAccepting = {}) {}
+        session.onStatement("c", Statement.Commit)
+
+        fixture.timers.advance(950)
+
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, code(caller.answers.last()))
+    }
+
+    /** Guards against a caller that does not learn why its transaction is gone, nor that it may be repeated. */
+    @Test
+    fun `the first statement after an abort between two statements is answered with it`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) {}
+        fixture.timers.advance(2_600)
+        assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
+
+        assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, read)))
+        assertEquals(ErrorCode.MALFORMED, code(fixture.ask(session, caller, read)))
+    }
+
     @Test
     fun `a stopping host answers or refuses every late caller before it ends`() {
         var isAccepting = true
