core: an unknown key of any depth is skipped, and CBOR on which the decoder throws is no message

Tests: UntrustedJsonTest, an unknown key of any depth is skipped; PeerMessageCheckTest, no mutated message makes the codec throw.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/codec/CborMessages.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/codec/CborMessages.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /**
@@ -24,9 +23,7 @@
     /** Decodes what [encode] returned, or returns null if [bytes] are not a message that this version knows. */
     public fun decode(bytes: ByteArray): T? = try {
         cbor.decodeFromByteArray(serializer, bytes)
-    } catch (_: SerializationException) {
-        null
-    } catch (_: IllegalArgumentException) {
+    } catch (_: RuntimeException) {
         null
     }
 }
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/codec/UntrustedJson.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/codec/UntrustedJson.kt
@@ -10,26 +10,30 @@
 /**
  * Decodes JSON texts that another process wrote. No text makes it throw.
  *
- * A text that nests deeper than [MAX_DEPTH] is refused before it is decoded: decoders recurse into nested values, and
- * the overflow of a stack is an error that event loops and reactive streams don't pass on to their failure handlers.
+ * The overflow of a stack is an error that event loops and reactive streams don't pass on to their failure handlers, so
+ * no text is read by recursion that its writer controls.
  *
  * @param json the format, for example whether unknown keys are ignored
  */
 public class UntrustedJson(private val json: Json = Json) {
-    /** Decodes [text], or says why it can't be decoded or why [deserializer]'s type refuses its values. */
+    /**
+     * Decodes [text], or says why it can't be decoded or why [deserializer]'s type refuses its values. That type must not
+     * contain itself; keys that it does not know may hold values of any depth, which the decoder skips without recursion.
+     */
     public fun <T> decode(deserializer: DeserializationStrategy<T>, text: String): Either<UnreadableText, T> =
-        read(text) { json.decodeFromString(deserializer, it) }
+        read { json.decodeFromString(deserializer, text) }
 
-    /** Parses [text] without a type, or says why it is not JSON. */
-    public fun parse(text: String): Either<UnreadableText, JsonElement> = read(text, json::parseToJsonElement)
+    /** Parses [text] without a type, or says why it is not JSON or that it nests deeper than [MAX_DEPTH]. */
+    public fun parse(text: String): Either<UnreadableText, JsonElement> = if (isTooDeep(text)) {
+        UnreadableText("nested deeper than $MAX_DEPTH levels").left()
+    } else {
+        read { json.parseToJsonElement(text) }
+    }
 
-    private fun <T> read(text: String, decode: (String) -> T): Either<UnreadableText, T> {
-        if (isTooDeep(text)) return UnreadableText("nested deeper than $MAX_DEPTH levels").left()
-        return try {
-            decode(text).right()
-        } catch (failure: RuntimeException) {
-            UnreadableText(reason(failure)).left()
-        }
+    private fun <T> read(decode: () -> T): Either<UnreadableText, T> = try {
+        decode().right()
+    } catch (failure: RuntimeException) {
+        UnreadableText(reason(failure)).left()
     }
 
     /** The decoder's message quotes the whole text, which may be large. */
@@ -55,7 +59,7 @@
     }
 
     public companion object {
-        /** The deepest nesting of arrays and objects that is decoded. The project's own texts nest to a depth of 8 at most. */
+        /** The deepest nesting of arrays and objects that [parse] reads. */
         public const val MAX_DEPTH: Int = 64
 
         /** In characters. */
