--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/SeatKeeper.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/SeatKeeper.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.log.guarded
 
 /**
  * Takes a seat for this host as [SeatPolicy] decides, and gives back seats that it holds by mistake.
@@ -41,7 +42,7 @@
         isRegistering = true
         table.writeSeat(SeatChange(claim.seat, self, claim.expectedVersion)).doFinally { isRegistering = false }
             .subscribe(
-                { outcome ->
+                log.guarded("fleet") { outcome ->
                     log.event("fleet", "registration", "seat", claim.seat, "outcome", outcome)
                     reader.read()
                 },
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreReader.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StoreReader.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.log.guarded
 import kotlin.random.Random
 
 /**
@@ -52,7 +53,8 @@
         isReading = true
         isReadRequested = false
         readAtMillis = nowMillis
-        table.read().doFinally { onReadEnded() }.subscribe({ onResult(it, nowMillis) }, ::onFailure)
+        val onRead = log.guarded<ControlRows>("store") { onResult(it, nowMillis) }
+        table.read().doFinally { onReadEnded() }.subscribe(onRead, ::onFailure)
     }
 
     private fun onReadEnded() {
