engine: messages of other hosts with values that no host can have are dropped

PeerMessageCheck refuses such messages where they are decoded, also compressed ones; fences are bounded by the epoch, confirmed fences by the known one. A heartbeat that would have been sent in the future of its receiver is not dated.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/HeartbeatDecoder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/HeartbeatDecoder.kt
@@ -17,7 +17,8 @@
         val hasBase = compressed.baseSentAtMillis != CompressedHeartbeat.NO_BASE
         val base = if (hasBase) bytesBySentAtMillis[compressed.baseSentAtMillis] ?: return null else null
         val bytes = compression.decompress(compressed.bytes, base) ?: return null
-        val heartbeat = HeartbeatEncoder.messages.decode(bytes)?.takeIf { it.sentAtMillis == sentAtMillis }
+        val heartbeat = HeartbeatEncoder.messages.decode(bytes)
+            ?.takeIf { it.sentAtMillis == sentAtMillis && PeerMessageCheck.isValid(it) }
             ?: return null
         bytesBySentAtMillis.keys.removeIf { it < sentAtMillis - HeartbeatEncoder.MAX_BASE_AGE_MILLIS }
         bytesBySentAtMillis[sentAtMillis] = bytes
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
@@ -47,8 +47,11 @@
         if (previous != null && heartbeat.sentAtMillis <= previous.sentAtMillis) return false
         lastHeartbeat = heartbeat
         receivedAtMillis = nowMillis
-        if (heartbeat.answeredSentAtMillis >= 0 && heartbeat.answeredIncarnation == ownIncarnation) {
-            sentNotBeforeMillis = heartbeat.answeredSentAtMillis + heartbeat.answeredHeldMillis
+        val notBeforeMillis = heartbeat.answeredSentAtMillis + heartbeat.answeredHeldMillis
+        val isDated = heartbeat.answeredSentAtMillis >= 0 && heartbeat.answeredIncarnation == ownIncarnation &&
+            notBeforeMillis <= nowMillis
+        if (isDated) {
+            sentNotBeforeMillis = notBeforeMillis
             encoder.onAcknowledged(heartbeat.answeredSentAtMillis)
         } else {
             encoder.onAcknowledged(CompressedHeartbeat.NO_BASE)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerCodec.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerCodec.kt
@@ -9,6 +9,6 @@
     /** Encodes [message] as one datagram. */
     public fun encode(message: PeerMessage): ByteArray = messages.encode(message)
 
-    /** Decodes a message, or returns null when [bytes] are not one. */
-    public fun decode(bytes: ByteArray): PeerMessage? = messages.decode(bytes)
+    /** Decodes a message, or returns null when [bytes] are not one that a host can have sent. */
+    public fun decode(bytes: ByteArray): PeerMessage? = messages.decode(bytes)?.takeIf(PeerMessageCheck::isValid)
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StorePosition.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/StorePosition.kt
@@ -15,6 +15,11 @@
 @Serializable
 @CborArray
 public data class StorePosition(val epoch: Long, val version: Long) : Comparable<StorePosition> {
+    init {
+        require(epoch in EPOCHS) { "epoch $epoch is out of range" }
+        require(version in -1..MAX_VERSION) { "version $version is out of range" }
+    }
+
     override fun compareTo(other: StorePosition): Int = compareValuesBy(this, other, { it.epoch }, { it.version })
 
     /** Returns the position as `epoch:version`, for logs. */
@@ -27,6 +32,12 @@
         /** The epoch of a store that has never been restored. */
         public const val FIRST_EPOCH: Long = 1
 
+        /** The epochs that a store can name; more than the restorations of any. */
+        public val EPOCHS: LongRange = UNKNOWN_EPOCH..1_000_000
+
+        /** More than the changes in any store, and exact in every JSON reader. */
+        public const val MAX_VERSION: Long = 1L shl 53
+
         /** The position before every other one. */
         public val START: StorePosition = StorePosition(epoch = UNKNOWN_EPOCH, version = -1)
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
@@ -40,6 +40,9 @@
         /** More than the takeovers of one group in an epoch of the store. */
         private const val FENCES_PER_EPOCH = 1_000_000L
 
+        /** The highest fence that a record can have whose row was seen in [epoch] of the store, see [nextFence]. */
+        internal fun highestFence(epoch: Long): Long = maxOf(StorePosition.FIRST_EPOCH, epoch) * FENCES_PER_EPOCH
+
         /**
          * The fence of a claim that follows [known], the newest known record if any, in [epoch] of the store. It
          * exceeds all fences of earlier epochs, also those that the store lost and no host remembers.
