--- a/cardamomlane-wire/src/test/kotlin/dev/cardamomlane/wire/DecoderFuzzTest.kt
+++ b/cardamomlane-wire/src/test/kotlin/dev/cardamomlane/wire/DecoderFuzzTest.kt
@@ -37,8 +37,9 @@
     // As above, for what a caller sends before it is known.
     @Test
     fun `a mutated startup message is decoded or malformed`() {
+        val parameters = mapOf("user" to "u", "database" to "d", "options" to "-c a=b")
         val samples = listOf(
-            StartupMessage.writeSession(Unpooled.buffer(), mapOf("user" to "u", "database" to "d", "options" to "-c a=b")),
+            StartupMessage.writeSession(Unpooled.buffer(), parameters),
             StartupMessage.writeCancel(Unpooled.buffer(), processId = 1, secretKey = 2),
         ).map(::bytesOf)
         val unexpected = fuzz(samples, minBytes = Int.SIZE_BYTES) { frame ->
@@ -132,8 +133,8 @@
         const val NESTED_ARRAY = 0x81.toByte()
 
         /** Ends of ranges, text controls, and CBOR's heads of long, indefinite and nested values. */
-        val ODD_BYTES: List<Byte> = listOf(0, 1, 13, 10, 0x7f, 0x80, 0xff, 0xfe, 0x1b, 0x3b, 0x5b, 0x5f, 0x7b, 0x81, 0x9b, 0x9f, 0xbb, 0xbf, 0xc1, 0xfb)
-            .map { it.toByte() }
+        val ODD_BYTES = "00 01 0d 0a 7f 80 ff fe 1b 3b 5b 5f 7b 81 9b 9f bb bf c1 fb".split(' ')
+            .map { it.toInt(16).toByte() }
         val BIND = byteArrayOf('B'.code.toByte(), 0, 0, 0, 21) + "p\u0000s\u0000".toByteArray() +
             byteArrayOf(0, 1, 0, 1, 0, 1, 0, 0, 0, 1, 42, 0, 0)
     }
