--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -87,8 +87,17 @@
         session?.let { sessions.close(it) }
     }
 
-    fun abortTransaction(reason: String) {
-        session?.abortTransaction(reason)
+    /** See [CallerSession.endOperation]. */
+    fun endOperation(error: StatementError) {
+        session?.endOperation(error)
+    }
+
+    /** See [CallerSession.endIfKeyWithdrawn]. */
+    fun endIfKeyWithdrawn(): Boolean = session?.endIfKeyWithdrawn() ?: false
+
+    /** See [CallerSession.giveUp]. */
+    fun giveUp(reason: String) {
+        session?.giveUp(reason)
     }
 
     override fun answer(answer: CallerAnswer) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OpenTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OpenTransaction.kt
@@ -1,11 +1,7 @@
 package dev.cardamomlane.engine.session
 
-import dev.cardamomlane.engine.config.Route
-
 /** A transaction of a caller, which runs on this host or on another one. */
-internal interface OpenTransaction {
-    val route: Route
-
+internal interface OpenTransaction : Operation {
     /** True once the transaction has failed, so that it can only be ended. */
     val isFailed: Boolean
 
@@ -17,4 +13,16 @@
 
     /** Rolls back without waiting for an answer. */
     fun rollback()
+
+    /**
+     * Ends the statement or commit under way with [ErrorCode.ABORTED][dev.cardamomlane.engine.statement.ErrorCode.ABORTED]
+     * and [reason] if it is known that no target has got it. Has no effect on another one.
+     */
+    fun endUnsent(reason: String)
+
+    /**
+     * Ends the statement or commit under way without waiting for its answer, and rolls back. The outcome of a commit that
+     * a target may have got is unknown.
+     */
+    fun giveUp(reason: String)
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.session
 
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.forward.HostConnection
 import dev.cardamomlane.engine.forward.OperationAnswer
 import dev.cardamomlane.engine.forward.OperationListener
@@ -10,6 +11,7 @@
 import dev.cardamomlane.engine.forward.TransactionKind
 import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.statement.StatementError
 
 /**
  * Runs one statement outside a transaction on another host.
@@ -24,11 +26,15 @@
     private val state: SessionState,
     private val done: (Outcome) -> Unit,
 ) : RunningStatement {
+    override val route: Route get() = call.route
+
+    override val customerName: String get() = call.customerName
     private val timers = call.services.timers
     private val attempts = LinkedHashSet<Attempt>()
     private var isFinished = false
     private var mayHaveRun = false
     private var timer: TimerSubscription? = null
+    private var refusal: StatementError? = null
     private val isRead = statement.access == Access.READ
 
     /** Sends the statement. Calls `done` once, soon after the route's timeout at the latest, unless cancelled before. */
@@ -41,9 +47,15 @@
         finish(null)
     }
 
+    override fun endUnsent(error: StatementError) {
+        refusal = error
+    }
+
+    override fun giveUp(reason: String) = onTimeout()
+
     /** Sends the statement to the next member. Finishes when there is none and no attempt is under way. */
     private fun sendToNext() {
-        val connection = call.nextConnection()
+        val connection = if (refusal == null) call.nextConnection() else null
         if (connection != null) return Attempt(connection).also { attempts += it }.start()
         if (attempts.isEmpty()) finish(unserved())
     }
@@ -54,7 +66,8 @@
     }
 
     private fun unserved(): Outcome = when {
-        !mayHaveRun -> Outcome.error(ErrorCode.UNAVAILABLE, "no host can serve, not run")
+        !mayHaveRun -> refusal?.let { Outcome.error(it.code, it.text) }
+            ?: Outcome.error(ErrorCode.UNAVAILABLE, "no host can serve, not run")
         isRead -> Outcome.error(ErrorCode.TIMEOUT, "no answer in time")
         else -> Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the serving host's answer was lost")
     }
