--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -227,6 +227,7 @@
         is TargetStatement.Run -> isWrite(text)
         is TargetStatement.Execute -> isWrite(name)
         is TargetStatement.Begin -> !isReadOnly
+        is TargetStatement.Commit -> openWrites.isNotEmpty()
         else -> false
     }
 
