Hosts take the time from a clock that no step of the time of day moves

Cause: LoopTimerService took each forward jump of the time of day for a suspension and added it to the monotonic time. Durations in heartbeats then contained the jump (answeredHeldMillis), and their receivers dated positions and proof into the future. The same jump ended a takeover's wait for the proof of silent members early.

Evidence: ClockFaultsTest steps the time of day and suspends machines in FleetSimulation. The test keeps both clocks as readings that must fail. Directed cases: stale reads, the wait of TakeoverDrain with steps ahead and back and a suspended holder, and a suspended member, also with a hidden suspension (the time of day steps back by as much).

FakeTargets passes its current hooks to connections, where it passed those of the time of the dial: a test that sets them later saw nothing.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/TimerService.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/TimerService.kt
@@ -6,7 +6,10 @@
  * Code uses this instead of the system clock, so that tests can control time with a [ManualTimerService].
  */
 public interface TimerService {
-    /** Returns monotonic milliseconds since an arbitrary origin, which also advance while the process is paused. */
+    /**
+     * Returns monotonic milliseconds since an arbitrary origin, which no step of the time of day moves. They also advance
+     * while the process is paused, and should while the machine is suspended.
+     */
     public fun nowMillis(): Long
 
     /** Calls [action] once after [delayMillis]. The action must not block. */
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -10,12 +10,14 @@
 
 /**
  * The connections between hosts in memory. Every message passes the codec. While [isPartitioned] returns true for two
- * hosts, nothing arrives between them. [onSent] receives the kind and the bytes of each message.
+ * hosts, nothing arrives between them. [onSent] receives the kind and the bytes of each message. [whenAwake] calls an action
+ * of the named host, at once or when its machine is no longer suspended.
  */
 class FakeHostLinks(
     private val timers: TimerService,
     private val onSent: (TrafficKind, Int) -> Unit,
     private val isPartitioned: (String, String) -> Boolean,
+    private val whenAwake: (String, () -> Unit) -> Unit,
 ) {
     private val hosts = HashMap<String, ProxyHost>()
     private val ends = ArrayList<End>()
@@ -50,10 +52,13 @@
         timers.after(CONNECT_MILLIS) {
             val host = hosts[to]
             if (near.isClosed || host == null || isPartitioned(from, to)) return@after
-            far.listener = host.onHostLink(far)
-            near.open()
-            far.open()
-            listener.onOpened()
+            whenAwake(to) {
+                if (near.isClosed) return@whenAwake
+                far.listener = host.onHostLink(far)
+                near.open()
+                far.open()
+                whenAwake(from) { if (!near.isClosed) listener.onOpened() }
+            }
         }
         return near
     }
@@ -80,9 +85,12 @@
             val bytes = HostMessageCodec.encode(message)
             onSent(TrafficKind.of(message), bytes.size)
             timers.after(DELAY_MILLIS) {
-                if (other.isClosed || isPartitioned(from, to)) return@after
-                if (message.request != null) requestCounts.merge(to, 1, Int::plus)
-                other.listener.onMessage(checkNotNull(HostMessageCodec.decode(bytes)))
+                if (isPartitioned(from, to)) return@after
+                whenAwake(to) {
+                    if (other.isClosed) return@whenAwake
+                    if (message.request != null) requestCounts.merge(to, 1, Int::plus)
+                    other.listener.onMessage(checkNotNull(HostMessageCodec.decode(bytes)))
+                }
             }
         }
 
@@ -95,7 +103,7 @@
         fun disconnect() {
             if (isClosed) return
             isClosed = true
-            if (::listener.isInitialized) listener.onClosed()
+            whenAwake(from) { if (::listener.isInitialized) listener.onClosed() }
         }
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -31,22 +31,39 @@
     /** The network paths that lose everything, as `host/target`. */
     val partitionedPaths = HashSet<String>()
 
-    /** The dialer of one host, which [partitionedPaths] affect. Its connections carry nothing while not [isRunning]. */
-    fun dialerFor(host: String, isRunning: () -> Boolean): TargetDialer = object : TargetDialer by this {
-        override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
-            open(target, customerName, listener) { !isRunning() || "$host/${target.id.value}" in partitionedPaths }
-    }
+    /**
+     * The dialer of one host, which [partitionedPaths] affect. Its connections carry nothing while not [isRunning], and
+     * their events are passed to [whenAwake].
+     */
+    fun dialerFor(host: String, whenAwake: (() -> Unit) -> Unit, isRunning: () -> Boolean): TargetDialer =
+        object : TargetDialer by this {
+            override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
+                open(target, customerName, listener, whenAwake) {
+                    !isRunning() || "$host/${target.id.value}" in partitionedPaths
+                }
+        }
 
     override fun dial(target: TargetEntry, customerName: String, listener: TargetLinkListener): TargetLink =
-        open(target, customerName, listener) { false }
+        open(target, customerName, listener, whenAwake = { it() }) { false }
 
     private fun open(
         target: TargetEntry,
         customerName: String,
         listener: TargetLinkListener,
+        whenAwake: (() -> Unit) -> Unit,
         isPartitioned: () -> Boolean,
     ): FakeLink {
-        val link = FakeLink(target(target.id.value), customerName, listener, timers, onRun, onCommit, isPartitioned)
+        val fake = target(target.id.value)
+        val link = FakeLink(
+            target = fake,
+            customerName = customerName,
+            listener = listener,
+            timers = timers,
+            onRun = { ran, text -> onRun(ran, text) },
+            onCommit = { committed, text -> onCommit(committed, text) },
+            isPartitioned = isPartitioned,
+            whenAwake = whenAwake,
+        )
         links += link
         link.open()
         return link
@@ -103,8 +120,10 @@
     private val onRun: (FakeTarget, String) -> Unit = { _, _ -> },
     private val onCommit: (FakeTarget, String) -> Unit = { _, _ -> },
     private val isPartitioned: () -> Boolean = { false },
+    private val whenAwake: (() -> Unit) -> Unit = { it() },
 ) : TargetLink {
     private var isClosed = false
+    private var isClosedByHost = false
     private var state = TransactionState.IDLE
     private val openWrites = ArrayList<String>()
     val values = HashMap<String, String>()
@@ -113,7 +132,8 @@
     fun open() {
         timers.after(CONNECT_MILLIS) {
             if (isClosed || target.isSilent || isPartitioned()) return@after
-            if (target.isDown) disconnect() else listener.onOpened(target.position)
+            val position = target.position
+            if (target.isDown) disconnect() else whenAwake { if (!isClosedByHost) listener.onOpened(position) }
         }
     }
 
@@ -121,7 +141,7 @@
     fun disconnect() {
         if (isClosed) return
         isClosed = true
-        listener.onClosed()
+        whenAwake { if (!isClosedByHost) listener.onClosed() }
     }
 
     override fun send(statement: TargetStatement) {
@@ -203,11 +223,13 @@
     }
 
     private fun reply(rows: List<String> = emptyList(), digest: String? = null, error: StatementError? = null) {
-        listener.onAnswer(TargetAnswer(rows, digest, error, state, target.position))
+        val answer = TargetAnswer(rows, digest, error, state, target.position)
+        whenAwake { if (!isClosedByHost) listener.onAnswer(answer) }
     }
 
     override fun close() {
         isClosed = true
+        isClosedByHost = true
     }
 
     /** True for the statements that carry the id of a caller's statement. */
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -45,6 +45,7 @@
     private val warmUpMillis: Long = 0,
     private val warmUpPerSecond: Int = 0,
     private val log: DecisionLog = DecisionLog.None,
+    private val clockReading: ClockReading = ClockReading.BOOT_TIME,
 ) {
     val timers = ManualTimerService()
     val targets = FakeTargets(timers)
@@ -74,14 +75,18 @@
     val hostsWithoutPlatform = HashSet<String>()
     private val runningHosts = ArrayList<ProxyHost>()
     private val processes = HashMap<String, StoppableTimers>()
+    private val machines = HashMap<String, SimulatedMachine>()
 
     /** The host that runs under each name, in the order of the names' numbers. */
     val hosts: List<ProxyHost> get() = runningHosts
 
     /** The connections between the hosts. */
-    val links = FakeHostLinks(timers, { kind, sizeBytes -> traffic.count(kind, sizeBytes) }) { from, to ->
-        from in partitionedHosts || to in partitionedHosts
-    }
+    val links = FakeHostLinks(
+        timers = timers,
+        onSent = { kind, sizeBytes -> traffic.count(kind, sizeBytes) },
+        isPartitioned = { from, to -> from in partitionedHosts || to in partitionedHosts },
+        whenAwake = { name, action -> machine(name).whenAwake(action) },
+    )
     private val hostsByAddress = HashMap<String, ProxyHost>()
 
     init {
@@ -104,19 +109,24 @@
     fun restart(index: Int) {
         val name = "host-$index"
         processes.getValue(name).stop()
+        machine(name).dropWaiting()
         links.disconnect(name)
         runningHosts[index] = host(name, incarnation = timers.nowMillis())
         start(runningHosts[index])
     }
 
+    /** The machine on which the host [name] runs. */
+    fun machine(name: String): SimulatedMachine = machines.getOrPut(name) { SimulatedMachine(timers, clockReading) }
+
     private fun host(name: String, incarnation: Long): ProxyHost {
-        val process = StoppableTimers(timers)
+        val machine = machine(name)
+        val process = StoppableTimers(machine)
         processes[name] = process
         val host = ProxyHost(
             self = Member(name, incarnation, address = name, snapshotAddress = name, zone = "a"),
             zones = listOf("a"),
             timers = process,
-            dialer = targets.dialerFor(name) { process.isRunning },
+            dialer = targets.dialerFor(name, machine::whenAwake) { process.isRunning },
             store = PartitionableStore(store) { !process.isRunning || name in hostsWithoutPlatform },
             network = { address, message -> if (process.isRunning) deliver(name, address, message) },
             hostDialer = links.dialerFor(name),
@@ -144,7 +154,9 @@
         val bytes = PeerCodec.encode(message)
         traffic.count(TrafficKind.of(message), bytes.size)
         if (from in partitionedHosts || to in partitionedHosts || "$from>$to" in cutPaths) return
-        timers.after(1) { hostsByAddress[to]?.onPeerMessage(checkNotNull(PeerCodec.decode(bytes))) }
+        timers.after(1) {
+            machine(to).whenAwake { hostsByAddress[to]?.onPeerMessage(checkNotNull(PeerCodec.decode(bytes))) }
+        }
     }
 
     /** Counts [traffic] anew. */
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/FleetSimulation.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.engine.ClockReading
 import dev.cardamomlane.engine.FakeCaller
 import dev.cardamomlane.engine.FakeStore
 import dev.cardamomlane.engine.FakeTarget
@@ -14,12 +15,22 @@
  * answers the callers got, and compares them.
  *
  * @param hasRestores whether the store is also restored from older copies, and hosts restart
+ * @param clockReading if given, there are [ClockFaults] too, and the hosts take their time from there
+ * @param stepCount how long the faults go on, in steps of [STEP_MILLIS]
  */
-class FleetSimulation(seed: Int, private val hostCount: Int = 5, private val hasRestores: Boolean = false) {
+class FleetSimulation(
+    seed: Int,
+    private val hostCount: Int = 5,
+    private val hasRestores: Boolean = false,
+    clockReading: ClockReading? = null,
+    private val stepCount: Int = STEPS,
+) {
     private val random = Random(seed)
     private val restoreRandom = Random(-seed)
     private val copies = ArrayDeque<FakeStore.Copy>()
-    private val fixture = HostFixture(hostCount, settleMillis = 2_000)
+    private val fixture =
+        HostFixture(hostCount, settleMillis = 2_000, clockReading = clockReading ?: ClockReading.BOOT_TIME)
+    private val clockFaults = if (clockReading != null) ClockFaults(fixture, seed) else null
     private val timers = fixture.timers
     private val ids = listOf("p", "r1", "r2")
     private val partitionedReplicas = HashSet<String>()
@@ -44,10 +55,11 @@
         fixture.targets.onCommit = ::onCommit
         fixture.targets.onRun = ::onRun
         fixture.onPromoted = ::onPromoted
-        repeat(STEPS) { step ->
+        repeat(stepCount) { step ->
             timers.advance(STEP_MILLIS)
             replicate()
             callers.forEach { it.step() }
+            clockFaults?.tick(primary.id)
             if (step % FAULT_STEPS == 0) injectFault()
             if (hasRestores) restoreAndRestart(step)
         }
@@ -55,7 +67,7 @@
         timers.advance(5_000)
         callers.forEach { it.collectAnswer() }
         checkOutcomes()
-        return findings
+        return findings + clockFaults?.findings.orEmpty()
     }
 
     private fun injectFault() {
@@ -192,7 +204,7 @@
             unanswered = text
             val access = if (text.startsWith("WRITE")) Access.WRITE else Access.READ
             if (access == Access.READ) reads[text] = Read(mustSee())
-            open.onStatement("id", Statement.Run(access, text))
+            fixture.machine("host-$host").whenAwake { open.onStatement("id", Statement.Run(access, text)) }
         }
 
         private fun mustSee(): Set<String> {
@@ -203,6 +215,7 @@
         }
 
         private fun open(): CallerSession? {
+            if (fixture.machine("host-$host").isSuspended) return null
             link = FakeCaller()
             collectedCount = 0
             ownWrites.clear()
