--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -46,6 +46,7 @@
     private val maxConnections: Int = 40,
     private val timeoutMillis: Long = 1_000,
     private val log: DecisionLog = DecisionLog.None,
+    private val clockReading: ClockReading = ClockReading.BOOT_TIME,
 ) {
     val timers = ManualTimerService()
     val targets = FakeTargets(timers)
@@ -79,14 +80,18 @@
     val hostsWithoutPlatform = HashSet<String>()
     private val runningHosts = ArrayList<ProxyHost>()
     private val processes = HashMap<String, StoppableTimers>()
+    private val machines = HashMap<String, SimulatedMachine>()
 
     /** The host that runs under each name, in the order of the names' numbers. */
     val hosts: List<ProxyHost> get() = runningHosts
 
     /** The connections between the hosts. */
-    val links = FakeHostLinks(timers, { kind, sizeBytes -> traffic.count(kind, sizeBytes) }) { from, to ->
-        from in partitionedHosts || to in partitionedHosts
-    }
+    val links = FakeHostLinks(
+        timers = timers,
+        onSent = { kind, sizeBytes -> traffic.count(kind, sizeBytes) },
+        isPartitioned = { from, to -> from in partitionedHosts || to in partitionedHosts },
+        whenAwake = { name, action -> machine(name).whenAwake(action) },
+    )
     private val hostsByAddress = HashMap<String, ProxyHost>()
 
     init {
@@ -110,6 +115,7 @@
     fun kill(index: Int) {
         val name = "host-$index"
         processes.getValue(name).stop()
+        machine(name).dropWaiting()
         links.disconnect(name)
     }
 
@@ -127,15 +133,18 @@
         processes.getValue(name).stop()
         links.disconnect(name)
     }
+    /** The machine on which the host [name] runs. */
+    fun machine(name: String): SimulatedMachine = machines.getOrPut(name) { SimulatedMachine(timers, clockReading) }
 
     private fun host(name: String, incarnation: Long): ProxyHost {
-        val process = StoppableTimers(timers)
+        val machine = machine(name)
+        val process = StoppableTimers(machine)
         processes[name] = process
         val host = ProxyHost(
             self = Member(name, incarnation, address = name, snapshotAddress = name, zone = "a"),
             zones = listOf("a"),
             timers = process,
-            dialer = targets.dialerFor(name) { process.isRunning },
+            dialer = targets.dialerFor(name, machine::whenAwake) { process.isRunning },
             store = PartitionableStore(store, timers, { nextStoreFate() }) {
                 !process.isRunning || name in hostsWithoutPlatform
             },
@@ -160,7 +169,9 @@
         val bytes = PeerCodec.encode(message)
         traffic.count(TrafficKind.of(message), bytes.size)
         if (from in partitionedHosts || to in partitionedHosts || "$from>$to" in cutPaths) return
-        timers.after(1) { hostsByAddress[to]?.onPeerMessage(checkNotNull(PeerCodec.decode(bytes))) }
+        timers.after(1) {
+            machine(to).whenAwake { hostsByAddress[to]?.onPeerMessage(checkNotNull(PeerCodec.decode(bytes))) }
+        }
     }
 
     /** Counts [traffic] anew. */
