session: a statement whose caller has left is not sent again

What callers saw: nothing at once. A write that a target had refused as not run was queued again and run although its caller, or the host that forwarded it, had left meanwhile, and also if its key was withdrawn before that.

Cause: StatementExecution.cancel had no effect while an attempt was under way, and the retry after that attempt did not know of it.

Change: after cancel the statement is sent to no further target.

CallerSessionTest, `a write that its target refuses after the caller has left is not sent again`, failed first.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RunningStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RunningStatement.kt
@@ -4,7 +4,7 @@
 
 /** A statement outside a transaction that has no outcome yet. */
 internal interface RunningStatement : Operation {
-    /** Drops the statement if it was not sent to a target yet, as its caller has left. */
+    /** Sends the statement to no further target, as its caller has left. Drops it unless one may be running it. */
     fun cancel()
 
     /** Sends the statement to no further target. Ends it with [error] at once unless one may be running it. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -56,8 +56,9 @@
         group.submit(work)
     }
 
-    /** Ends the execution without an outcome, as its caller has left. Has no effect while an attempt is under way. */
+    /** Ends the execution without an outcome, as its caller has left, once no attempt is under way. */
     override fun cancel() {
+        refusal = StatementError(ErrorCode.BUSY, "the caller has left, not run")
         if (attempts.isEmpty()) finish(null)
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -266,6 +266,21 @@
         }
     }
 
+    /** Guards against a write that is run although its caller has left, or its key was withdrawn since. */
+    @Test
+    fun `a write that its target refuses after the caller has left is not sent again`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, read)
+        primary.refusals += ErrorCode.BUSY
+        session.onStatement("w", write)
+        fixture.timers.advance(1)
+
+        fixture.hosts[0].closeSession(session)
+        fixture.timers.advance(500)
+
+        assertEquals(listOf("READ 1"), primary.ran)
+    }
+
     @Test
     fun `a write whose answer is lost has an unknown outcome and is not sent again`() {
         val session = fixture.open(caller)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/KeyWithdrawalSchedule.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/KeyWithdrawalSchedule.kt
@@ -39,9 +39,12 @@
         .filter { it.link.customerName == customer && it.atMillis > withdrawnAtMillis }
         .map { "$it was begun after the withdrawal at $withdrawnAtMillis" }
 
-    private fun unanswered(): List<String> = callers.mapNotNull { it.outstanding }
-        .filter { it.sentAtMillis < timers.nowMillis() - timeoutMillis - ANSWER_MARGIN_MILLIS }
-        .map { "${it.id} (${it.text}), sent at ${it.sentAtMillis}, has no answer" }
+    private fun unanswered(): List<String> = callers
+        .filter {
+            it.outstanding.isNotEmpty() &&
+                it.waitsSinceMillis < timers.nowMillis() - timeoutMillis - ANSWER_MARGIN_MILLIS
+        }
+        .map { "${it.outstanding.first().id} is without an answer since ${it.waitsSinceMillis}" }
 
     /** Statements of the other customer that failed for the key. */
     private fun refusedOthers(): List<String> = callers.filter { it.key != withdrawn }.flatMap { it.statements }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/ScheduledCaller.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/ScheduledCaller.kt
@@ -8,7 +8,10 @@
 import dev.cardamomlane.engine.statement.TransactionState
 import kotlin.random.Random
 
-/** A caller that runs statements and transactions one after another, with pauses of [pauseMillis] in between. */
+/**
+ * A caller that runs statements and transactions one after another, with pauses of [pauseMillis] in between. It sends some
+ * statements without waiting for the answers to those before.
+ */
 class ScheduledCaller(
     private val name: String,
     private val fixture: HostFixture,
@@ -19,7 +22,7 @@
     private val pauseMillis: IntRange,
 ) : CallerLink {
     private val session: CallerSession = fixture.hosts[host].openSession(this, database, key)
-    private var operation: ScheduledOperation? = null
+    private val awaiting = ArrayDeque<SentStatement>()
     private var isOver = false
     val operations = ArrayList<ScheduledOperation>()
     val statements = ArrayList<SentStatement>()
@@ -27,8 +30,12 @@
     /** What was wrong with the answers. */
     val findings = ArrayList<String>()
 
-    /** The statement that has no answer yet, or null. */
-    val outstanding: SentStatement? get() = statements.lastOrNull()?.takeIf { it.answer == null && !it.isLeft }
+    /** When the oldest statement without an answer was sent, or the one before it was answered. */
+    var waitsSinceMillis = 0L
+        private set
+
+    /** The statements that have no answer yet. */
+    val outstanding: List<SentStatement> get() = awaiting.filter { !it.isLeft }
 
     override fun opened() = nextOperation()
 
@@ -40,7 +47,7 @@
     fun leave() {
         if (isOver) return
         isOver = true
-        outstanding?.isLeft = true
+        awaiting.forEach { it.isLeft = true }
         fixture.hosts[host].closeSession(session)
     }
 
@@ -50,11 +57,17 @@
     }
 
     private fun nextOperation() = later {
-        val number = operations.size
-        val steps = if (random.nextInt(3) == 0) listOf(statement("$name-$number-0")) else transaction("$name-$number")
+        if (random.nextInt(3) > 0) {
+            start(transaction("$name-${operations.size}"))
+        } else {
+            repeat(1 + random.nextInt(MAX_PIPELINED)) { start(listOf(statement("$name-${operations.size}-0"))) }
+        }
+    }
+
+    private fun start(steps: List<Statement>) {
+        if (isOver) return
         val next = ScheduledOperation(steps)
         operations += next
-        operation = next
         sendNext(next)
     }
 
@@ -76,31 +89,39 @@
 
     private fun send(current: ScheduledOperation, statement: Statement) {
         val text = (statement as? Statement.Run)?.text ?: statement::class.simpleName!!.uppercase()
-        val sent = SentStatement("$name.${statements.size}", text, fixture.timers.nowMillis())
+        val sent = SentStatement("$name.${statements.size}", text, fixture.timers.nowMillis(), current)
         statements += sent
+        awaiting += sent
+        if (awaiting.size == 1) waitsSinceMillis = sent.sentAtMillis
         val mayCommit = statement is Statement.Commit || !current.isTransaction
         current.commitCounts = if (mayCommit) 0..1 else 0..0
         session.onStatement(sent.id, statement)
     }
 
     override fun answer(answer: CallerAnswer) {
-        val sent = statements.last()
-        if (sent.answer != null || sent.id != answer.id) findings += "${sent.id} (${sent.text}) got a second answer"
+        val sent = awaiting.removeFirstOrNull()
+        if (sent == null || sent.id != answer.id) {
+            findings += "$name got an answer to ${answer.id}, but waits for ${sent?.id}"
+            return
+        }
         sent.answer = answer
-        val current = operation ?: return
+        waitsSinceMillis = fixture.timers.nowMillis()
+        val current = sent.operation
         val error = answer.error
         when {
             answer.state == TransactionState.IDLE -> onEnded(current, sent, answer)
             isAtEnd(sent) -> findings += "${sent.id} (${sent.text}) ended a transaction, which is ${answer.state} still"
-            error != null -> later { endFailed(current) }
+            error != null -> later { endFailed(current, answer.state) }
             else -> later { sendNext(current) }
         }
     }
 
     private fun isAtEnd(sent: SentStatement) = sent.text == "COMMIT" || sent.text == "ROLLBACK"
 
-    private fun endFailed(current: ScheduledOperation) {
-        send(current, if (random.nextBoolean()) Statement.Commit else Statement.Rollback)
+    /** A commit ends a failed transaction like a rollback. */
+    private fun endFailed(current: ScheduledOperation, state: TransactionState) {
+        val maySendCommit = state == TransactionState.FAILED && random.nextBoolean()
+        send(current, if (maySendCommit) Statement.Commit else Statement.Rollback)
     }
 
     private fun onEnded(current: ScheduledOperation, sent: SentStatement, answer: CallerAnswer) {
@@ -111,8 +132,7 @@
             code == null -> 1..1
             else -> 0..1
         }
-        operation = null
-        nextOperation()
+        if (awaiting.isEmpty()) nextOperation()
     }
 
     private fun later(action: () -> Unit) {
@@ -122,12 +142,13 @@
     override fun setReading(isReading: Boolean) = Unit
 
     override fun close() {
-        outstanding?.let { findings += "the connection was closed before ${it.id} (${it.text}) had an answer" }
+        outstanding.forEach { findings += "the connection was closed before ${it.id} (${it.text}) had an answer" }
         isOver = true
         fixture.timers.after(1) { fixture.hosts[host].closeSession(session) }
     }
 
     private companion object {
         const val MAX_STATEMENTS = 6
+        const val MAX_PIPELINED = 4
     }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SessionSchedule.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SessionSchedule.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.engine.FakeLink
 import dev.cardamomlane.engine.HostFixture
+import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.TargetStatement
 import kotlin.random.Random
 
@@ -37,6 +38,7 @@
         prepareTargets()
         fixture.hosts.forEach { it.configure(fixture.configuration(version = 2, customers = CUSTOMERS)) }
         callers = (0 until CALLERS).map { caller(it) }
+        refuseSome()
         if (!isQuiet) disturb()
         play()
         return findings() + callers.flatMap { it.findings } + callers.flatMap(::untrue)
@@ -80,6 +82,13 @@
         else -> "-"
     }
 
+    /** The primary refuses some statements, which are then sent again. */
+    private fun refuseSome() {
+        repeat(random.nextInt(MAX_REFUSALS)) {
+            at(random.nextLong(DISTURBED_MILLIS)) { fixture.targets.target("p").refusals += ErrorCode.BUSY }
+        }
+    }
+
     private fun disturb() {
         repeat(random.nextInt(3)) {
             at(random.nextLong(DISTURBED_MILLIS)) { fixture.targets.target("p").lostAnswers++ }
@@ -125,6 +134,7 @@
         const val HOSTS = 3
         const val CALLERS = 12
         const val REPLICATION_MILLIS = 30L
+        const val MAX_REFUSALS = 60
         const val FAST_MILLIS = 5L
         const val DISTURBED_MILLIS = 6_000L
         val CUSTOMERS = mapOf("key" to "press", "other-key" to "guild")
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/StopSchedule.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/StopSchedule.kt
@@ -22,7 +22,7 @@
         if (endedAtMillis != null) return
         endedAtMillis = timers.nowMillis()
         val own = callers.filter { it.host == stopped }
-        unanswered = own.mapNotNull { it.outstanding }
+        unanswered = own.flatMap { it.outstanding }
             .map { "${it.id} (${it.text}), sent ${it.sentAtMillis - stoppedAtMillis} ms after the stop, has no answer" }
         own.forEach { it.onHostEnded() }
         fixture.end(stopped)
