target: a rollback without an answer ends its connection in time

What callers saw: refusals, once enough of the few connections to a target were gone.

Cause: the rollback had no time limit.

Change: PooledConnection.rollback closes the connection after the route's timeout. Closing rolls back too.

Evidence: CallerSessionTest, `a rollback without an answer ends its connection within the route's timeout`, failed first: the transaction was open after the timeout. Measured: CallerSessionTest and ForwardingTest pass (53 tests).

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -71,7 +71,7 @@
         val connection = pinned ?: return
         pinned = null
         if (currentStep != null || connection.oldestSentMillis != null) return connection.close()
-        rollback(connection)
+        connection.rollback(limitMillis = route.timeoutMillis)
     }
 
     private fun begin(step: Step) {
@@ -121,7 +121,7 @@
             when {
                 answer == null -> onStartFailed(target, connection, work, isCounted = false)
                 !answer.isSuccess -> onBeginRefused(work, target, connection, answer)
-                isFinished -> rollback(connection)
+                isFinished -> connection.rollback(limitMillis = route.timeoutMillis)
                 else -> {
                     work.end()
                     queued = null
@@ -142,10 +142,6 @@
         else -> StatementEnd.Answered(tookMillis, isSuccess = answer.error?.code !in TARGET_FAILURES)
     }
 
-    private fun rollback(connection: PooledConnection) {
-        connection.execute(TargetStatement.Rollback) { answer -> connection.releaseOrClose(answer) }
-    }
-
     private fun onStartFailed(target: Target, connection: PooledConnection, work: Work, isCounted: Boolean = true) {
         starting = null
         if (isCounted) target.finished(BEGIN, endOf(answer = null, tookMillis = null))
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
@@ -105,6 +105,18 @@
         if (answer?.state == TransactionState.IDLE) release() else close()
     }
 
+    /**
+     * Rolls back and releases the connection, or closes it, which rolls back too, when there is no answer within
+     * [limitMillis].
+     */
+    internal fun rollback(limitMillis: Long) {
+        val limit = timers.after(limitMillis) { close() }
+        execute(TargetStatement.Rollback) { answer ->
+            limit.cancel()
+            releaseOrClose(answer)
+        }
+    }
+
     override fun onOpened(position: LogPosition?) {
         isOpen = true
         target.opened(this, position)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -454,6 +454,21 @@
         assertEquals(ErrorCode.BUSY, caller.refusal?.code)
     }
 
+    /** Guards against a target that answers no rollback, which costs its host one of few connections for good. */
+    @Test
+    fun `a rollback without an answer ends its connection within the route's timeout`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.isSilent = true
+        session.onStatement("r", Statement.Rollback)
+        assertTrue(fixture.targets.links.any { it.isInTransaction })
+
+        fixture.timers.advance(1_000)
+
+        assertTrue(fixture.targets.links.none { it.isInTransaction })
+    }
+
     /** Guards against a slot and a connection that stay in use for good after the answer to BEGIN was lost. */
     @Test
     fun `a transaction that ends before the answer to its begin gives back its slot`() {
