--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -266,6 +266,21 @@
         }
     }
 
+    /** Guards against a write that is run although its caller has left, or its key was withdrawn since. */
+    @Test
+    fun `a write that its target refuses after the caller has left is not sent again`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, read)
+        primary.refusals += ErrorCode.BUSY
+        session.onStatement("w", write)
+        fixture.timers.advance(1)
+
+        fixture.hosts[0].closeSession(session)
+        fixture.timers.advance(500)
+
+        assertEquals(listOf("READ 1"), primary.ran)
+    }
+
     @Test
     fun `a write whose answer is lost has an unknown outcome and is not sent again`() {
         val session = fixture.open(caller)
@@ -439,6 +454,21 @@
         assertEquals(ErrorCode.BUSY, caller.refusal?.code)
     }
 
+    /** Guards against a target that answers no rollback, which costs its host one of few connections for good. */
+    @Test
+    fun `a rollback without an answer ends its connection within the route's timeout`() {
+        val session = fixture.open(caller)
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.isSilent = true
+        session.onStatement("r", Statement.Rollback)
+        assertTrue(fixture.targets.links.any { it.isInTransaction })
+
+        fixture.timers.advance(1_000)
+
+        assertTrue(fixture.targets.links.none { it.isInTransaction })
+    }
+
     /** Guards against a slot and a connection that stay in use for good after the answer to BEGIN was lost. */
     @Test
     fun `a transaction that ends before the answer to its begin gives back its slot`() {
