--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/CallerTextFuzzTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/CallerTextFuzzTest.kt
@@ -47,8 +47,8 @@
         const val STACK_BYTES = 256L * 1_024
         val NESTED = listOf("(".repeat(60_000), "/*".repeat(60_000), "a".repeat(60_000), " --".repeat(20_000))
         val ODD_TEXTS = listOf(
-            "", "'", "\"", "$$", "\$a$", "E'\\", "/*", "*/", "--", ";", "(", ")", ".", ",", "=", "*", "#", ":", "\u0000",
-            "\r\n", "1e999", "99999999999999999999", "-1", "set ", "with ", "from ", "into ", "\uD800", "İ",
+            "", "'", "\"", "$$", "\$a$", "E'\\", "/*", "*/", "--", ";", "(", ")", ".", ",", "=", "*", "#", ":",
+            "\u0000", "\r\n", "1e999", "99999999999999999999", "-1", "set ", "with ", "from ", "into ", "\uD800", "İ",
         )
         val SAMPLES = listOf(
             "/* lane:legend */ SELECT a.b, extract(year FROM x) FROM a JOIN \"b\" ON true WHERE c = $1 FOR UPDATE",
