standin: store, promote call, targets, callers and hosts of the users' platform

Change: package dev.cardamomlane.standin.lane. All of it runs on one event loop; tests drive it with a manual timer. Hosts run the command of deploy/system.toml on a loopback network that is picked at the start, and are ended by their process handles.

--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
@@ -0,0 +1,90 @@
+package dev.cardamomlane.standin.lane
+
+import dev.cardamomlane.standin.lane.admin.LaneAdminServer
+import dev.cardamomlane.standin.lane.caller.CallerSession
+import dev.cardamomlane.standin.lane.caller.StatementIds
+import dev.cardamomlane.standin.lane.host.DeployCommand
+import dev.cardamomlane.standin.lane.host.HostFleet
+import dev.cardamomlane.standin.lane.host.HostProcess
+import dev.cardamomlane.standin.lane.host.HostSettingsFile
+import dev.cardamomlane.standin.lane.host.LoopbackNetwork
+import dev.cardamomlane.standin.lane.host.SitePlan
+import dev.cardamomlane.standin.lane.operator.OperatorConfig
+import dev.cardamomlane.standin.lane.record.RunRecord
+import java.nio.file.Path
+
+/**
+ * The stand-ins of the platform and the hosts of the deploy file, which run in the working directory.
+ *
+ * [close] ends the hosts and the stand-ins, but not [record].
+ *
+ * @param directory for the settings and logs of the hosts
+ */
+internal class LaneInstallation(
+    site: SitePlan,
+    hostCount: Int,
+    directory: Path,
+    val record: RunRecord,
+    customerCount: Int = 8,
+    ratePerSecond: Int = 83,
+    deployFile: Path = Path.of("deploy/system.toml"),
+) : AutoCloseable {
+    private val network = LoopbackNetwork.pick()
+    private val ids = StatementIds()
+    val platform = LanePlatform(site, network, customerCount, ratePerSecond, record)
+    val fleet: HostFleet
+    val admin = LaneAdminServer(network.nextSocketAddress(), installation = this)
+
+    init {
+        val plans = HostFleet.plan(site, hostCount, network)
+        val settings = HostSettingsFile(
+            store = platform.storeServer.address,
+            promotion = platform.promotionServer.address,
+            site = site,
+            hosts = plans,
+        )
+        fleet = HostFleet(plans, settings, DeployCommand.read(deployFile), directory, record)
+    }
+
+    val hosts: List<HostProcess> get() = fleet.hosts
+    val customers: List<OperatorConfig.Customer> get() = platform.operator.config.customers
+
+    /** Starts everything. Blocks until all hosts are ready; returns false if that takes longer than [timeoutMillis]. */
+    fun start(timeoutMillis: Long = 40_000): Boolean {
+        platform.start()
+        admin.start()
+        fleet.startAll()
+        return fleet.awaitReady(timeoutMillis)
+    }
+
+    /** Opens a session of customer number [customer] at host number [host]. Throws IOException if it can't connect. */
+    fun connect(
+        name: String,
+        host: Int,
+        customer: Int,
+        database: String = OperatorConfig.CURRENT_DATABASE,
+        key: String = customers[customer % customers.size].keys.first(),
+    ): CallerSession = CallerSession(
+        name,
+        hosts[host].plan.callerAddress,
+        database,
+        key,
+        ids,
+        record,
+    )
+
+    /** Publishes the next configuration, in which customer number [customer] has only [keys]. */
+    fun setKeys(customer: Int, keys: List<String>) {
+        platform.onLoop {
+            val next = platform.operator.config.withKeys(customers[customer].name, keys)
+            platform.operator.publish(next)
+        }
+        record.line("configuration ${platform.operator.config.revision} is acknowledged")
+    }
+
+    override fun close() {
+        fleet.close()
+        admin.close()
+        platform.close()
+    }
+}
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
@@ -0,0 +1,50 @@
+package dev.cardamomlane.standin.lane.record
+
+import dev.cardamomlane.standin.lane.target.Commit
+import dev.cardamomlane.standin.lane.target.GroupListener
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * What the targets of a database group did, for the checks of a run, and in its [record]. Safe for use by several threads.
+ */
+internal class GroupHistory(private val record: RunRecord) : GroupListener {
+    private val begun = ConcurrentHashMap.newKeySet<String>()
+    private val late = ConcurrentHashMap.newKeySet<String>()
+    private val rolledBack = ConcurrentHashMap.newKeySet<String>()
+    private val commitCounts = ConcurrentHashMap<String, Int>()
+
+    /** The statements whose commit was made at a target after another one had been promoted. */
+    val lateCommits: Set<String> get() = late.toSet()
+
+    /** The statements whose commit a promotion took out of a log. */
+    val rolledBackCommits: Set<String> get() = rolledBack.toSet()
+
+    /** The statements that were committed more than once. */
+    val repeatedCommits: Set<String> get() = commitCounts.filterValues { it > 1 }.keys
+
+    /** Whether a target has received the statement [statementId]. */
+    fun hasBegun(statementId: String): Boolean = statementId in begun
+
+    /** Whether a target has committed the statement [statementId]. */
+    fun isCommitted(statementId: String): Boolean = commitCounts.containsKey(statementId)
+
+    override fun onBegun(target: String, statementId: String) {
+        begun += statementId
+    }
+
+    override fun onCommitted(target: String, commit: Commit, isLate: Boolean) {
+        commitCounts.merge(commit.statementId, 1, Int::plus)
+        if (isLate) late += commit.statementId
+        val note = if (isLate) ", although another target has been promoted" else ""
+        record.line("target $target commits ${commit.statementId} as ${commit.term}.${commit.number}$note")
+    }
+
+    override fun onRolledBack(target: String, commit: Commit) {
+        rolledBack += commit.statementId
+        record.line("target $target rolls back ${commit.statementId} of ${commit.term}.${commit.number}")
+    }
+
+    override fun onPromoted(target: String, term: Long) = record.line("target $target leads term $term")
+
+    override fun onEvent(text: String) = record.line(text)
+}
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/GroupListener.kt
@@ -0,0 +1,19 @@
+package dev.cardamomlane.standin.lane.target
+
+/** Is told what happens in a database group. Calls must not block. */
+internal interface GroupListener {
+    /** A target has received the statement [statementId] of a caller. */
+    fun onBegun(target: String, statementId: String)
+
+    /** [isLate] is true when another target had been promoted before. */
+    fun onCommitted(target: String, commit: Commit, isLate: Boolean)
+
+    /** A promotion took [commit] out of the log of [target]. */
+    fun onRolledBack(target: String, commit: Commit)
+
+    /** [target] leads [term] from now on. */
+    fun onPromoted(target: String, term: Long)
+
+    /** Something else that a reader of a run's record wants to know. */
+    fun onEvent(text: String)
+}
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetLog.kt
@@ -0,0 +1,51 @@
+package dev.cardamomlane.standin.lane.target
+
+/** The commits that one target holds, in order. Not safe for use by several threads. */
+internal class TargetLog {
+    private val entries = ArrayList<Commit>()
+
+    val size: Int get() = entries.size
+
+    fun append(commit: Commit) {
+        require(commit.number == size + 1) { "commit ${commit.number} does not follow the log of $size commits" }
+        entries += commit
+    }
+
+    /** Returns how many commits were made at or before [atMillis]. */
+    fun countUntil(atMillis: Long): Int {
+        var count = size
+        while (count > 0 && entries[count - 1].committedAtMillis > atMillis) count--
+        return count
+    }
+
+    /** Returns the data of [item] after the first [count] commits, or null if none of them writes it. */
+    fun value(item: String, count: Int): String? {
+        for (index in minOf(count, size) - 1 downTo 0) entries[index].values[item]?.let { return it }
+        return null
+    }
+
+    /** Replaces all that differs from [other]. Returns the commits that were rolled back. */
+    fun copyFrom(other: TargetLog): List<Commit> {
+        var common = 0
+        val shorter = minOf(size, other.size)
+        // Logs nearly always share all but their ends, so the search begins there.
+        if (shorter > 0 && entries[shorter - 1] === other.entries[shorter - 1]) {
+            common = shorter
+        } else {
+            while (common < shorter && entries[common] === other.entries[common]) common++
+        }
+        val tail = entries.subList(common, size)
+        val lost = tail.toList()
+        tail.clear()
+        entries += other.entries.subList(common, other.size)
+        return lost
+    }
+
+    fun contains(statementId: String): Boolean = entries.any { it.statementId == statementId }
+
+    /** Returns how many commits the statement [statementId] made. */
+    fun count(statementId: String): Int = entries.count { it.statementId == statementId }
+
+    /** Returns the statements whose commits the log holds. */
+    fun statementIds(): Set<String> = entries.mapTo(HashSet(), Commit::statementId)
+}
