standin: a soak of hosts under load and seeded disturbances

Change: callers use their sessions until these end. Three disturbers crash, drain and start targets, stop and kill hosts, disturb the store and the promote call, write rows of other writers and withdraw keys, one disturbance a part at a time.

Measured: 11 tests of the checks pass. The soak itself was not run before this commit.

--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
@@ -0,0 +1,106 @@
+package dev.cardamomlane.standin.lane.soak
+
+import dev.cardamomlane.standin.lane.record.GroupHistory
+import dev.cardamomlane.standin.lane.target.TargetLog
+import dev.cardamomlane.standin.lane.wire.PlatformWords
+
+/**
+ * The rules that a soak checks after its end, when all is healed.
+ *
+ * @param log of the primary
+ */
+internal class SoakChecks(
+    private val history: SoakHistory,
+    private val group: GroupHistory,
+    private val log: TargetLog,
+) {
+    private val statements = history.statements()
+    private val disturbances = history.disturbances()
+
+    /** Returns a line for each broken rule, with the statements that broke it. */
+    fun findings(): List<String> = listOf(
+        finding("acknowledged writes are lost", lostWrites()),
+        finding("acknowledged writes were committed at an old primary after a promotion", lateWrites()),
+        finding("writes were committed though their callers were told that they were not run", refusedWrites()),
+        finding("writes stand twice in the log", group.repeatedCommits.filter { log.count(it) > 1 }),
+        finding("statements were cut by a planned stop", cutStatements()),
+        finding("statements ran with a withdrawn key", withdrawnKeyStatements()),
+    ).filterNotNull()
+
+    private fun finding(text: String, statementIds: List<String>): String? =
+        if (statementIds.isEmpty()) null else "${statementIds.size} $text: ${statementIds.take(MAX_NAMED)}"
+
+    private val acknowledged: List<String>
+        get() = statements.filter { it.isCommit && it.answer.isRunByTarget }.map { it.answer.statementId }
+
+    /** What a promotion rolled back is excused, since replicas receive commits after they are acknowledged. */
+    private fun lostWrites(): List<String> {
+        val kept = log.statementIds()
+        return acknowledged.filter { group.isCommitted(it) && it !in kept && it !in group.rolledBackCommits }
+    }
+
+    private fun lateWrites(): List<String> {
+        val late = group.lateCommits
+        return acknowledged.filter { it in late }
+    }
+
+    private fun refusedWrites(): List<String> {
+        val kept = log.statementIds()
+        return statements.filter { it.isCommit && it.answer.code in NOT_RUN_CODES }.map { it.answer.statementId }
+            .filter { it in kept }
+    }
+
+    private fun cutStatements(): List<String> {
+        val stops = disturbances.filter { it.kind == DisturbanceKind.HOST_STOP }
+        return statements.filter { statement ->
+            val stop = stops.find { it.subject == statement.host && it.covers(statement) }
+            stop != null && statement.answer.isCut && group.hasBegun(statement.answer.statementId) &&
+                !isExcused(statement, stop) && isCalm(statement.sentMillis, statement.endedMillis)
+        }.map { it.answer.statementId }
+    }
+
+    private fun Disturbance.covers(statement: SoakStatement): Boolean =
+        statement.endedMillis in startMillis..startMillis + Disturber.GRACE_MILLIS + STOP_END_MILLIS
+
+    /** A statement that was sent soon after the signal may be cut in the last sixth of the grace time. */
+    private fun isExcused(statement: SoakStatement, stop: Disturbance): Boolean =
+        statement.sentMillis - stop.startMillis <= EARLY_MILLIS &&
+            statement.endedMillis - stop.startMillis > Disturber.GRACE_MILLIS * 5 / 6
+
+    private fun withdrawnKeyStatements(): List<String> {
+        val withdrawals = disturbances.filter { it.kind == DisturbanceKind.KEY_WITHDRAWAL }
+        return statements.filter { statement ->
+            val withdrawal = withdrawals.find {
+                it.subject == statement.key && statement.sentMillis in it.startMillis + APPLY_MILLIS..it.endMillis
+            }
+            withdrawal != null && statement.answer.isRunByTarget &&
+                isCalm(withdrawal.startMillis, statement.sentMillis)
+        }.map { it.answer.statementId }
+    }
+
+    /** Whether nothing unplanned went on from a while before [fromMillis] until [toMillis]. */
+    private fun isCalm(fromMillis: Long, toMillis: Long): Boolean =
+        disturbances.none { !it.kind.isPlanned && it.overlaps(fromMillis - STABLE_MILLIS, toMillis) }
+
+    private companion object {
+        const val STABLE_MILLIS = 4_000L
+
+        /** The bound of 3 s, and some time until the configuration is written. */
+        const val APPLY_MILLIS = 3_200L
+        const val EARLY_MILLIS = 3_000L
+
+        /** How long after the grace time a cut still belongs to the stop. */
+        const val STOP_END_MILLIS = 1_000L
+        const val MAX_NAMED = 5
+
+        /** With these codes nothing of the caller's attempt is kept. */
+        val NOT_RUN_CODES = setOf(
+            PlatformWords.BUSY,
+            PlatformWords.LAGGING,
+            PlatformWords.READ_ONLY,
+            PlatformWords.WRONG_TARGET,
+            PlatformWords.TOO_MANY_CONNECTIONS,
+            "ABORTED",
+        )
+    }
+}
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
@@ -0,0 +1,104 @@
+package dev.cardamomlane.standin.lane.soak
+
+import dev.cardamomlane.standin.lane.LaneInstallation
+import dev.cardamomlane.standin.lane.cases.BackgroundTasks
+import dev.cardamomlane.standin.lane.cases.Verdict
+import dev.cardamomlane.standin.lane.host.SitePlan
+import dev.cardamomlane.standin.lane.record.RunRecord
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.bufferedWriter
+import kotlin.random.Random
+
+/**
+ * Runs hosts of the deploy file under load while hosts, targets, the store, the promote call, keys and foreign rows are
+ * disturbed, and checks what callers were told. A seed gives the same disturbances and operations, but not the same
+ * moments, since the processes are real.
+ */
+@Command(
+    name = "soak",
+    mixinStandardHelpOptions = true,
+    description = ["Disturbs hosts under load. Exits with 1 if a rule broke, 0 if all held, 2 if it could not run."],
+    exitCodeOnExecutionException = 2,
+)
+internal class SoakCommand : Callable<Int> {
+    @Option(names = ["--seed"], required = true, paramLabel = "N")
+    private var seed: Long = 0
+
+    @Option(names = ["--seconds"], paramLabel = "S", description = ["how long disturbances go on"], defaultValue = "60")
+    private var seconds: Long = 0
+
+    @Option(names = ["--hosts"], paramLabel = "N", description = ["number of hosts"], defaultValue = "6")
+    private var hostCount: Int = 0
+
+    @Option(names = ["--dir"], required = true, paramLabel = "DIR", description = ["for settings, logs and the record"])
+    private lateinit var directory: Path
+
+    override fun call(): Int {
+        Files.createDirectories(directory)
+        val record = RunRecord(directory.resolve("record.txt").bufferedWriter())
+        val site = SitePlan.PRESS
+        val installation = LaneInstallation(site, hostCount, directory.toAbsolutePath(), record)
+        Runtime.getRuntime().addShutdownHook(Thread(installation::close))
+        val verdict = if (installation.start()) run(installation) else Verdict.NotRun("the hosts are not ready")
+        record.line("$verdict")
+        println("seed $seed: $verdict")
+        return verdict.exitCode
+    }
+
+    private fun run(installation: LaneInstallation): Verdict {
+        val record = installation.record
+        val history = SoakHistory()
+        val keys = installation.customers.map { it.keys.first() }
+        val endMillis = record.nowMillis + TimeUnit.SECONDS.toMillis(seconds)
+        BackgroundTasks().use { tasks ->
+            val callers = List(hostCount * CALLERS_PER_HOST) { number ->
+                val customer = number % keys.size
+                val random = Random(seed * SEED_STEP + number)
+                val caller =
+                    SoakCaller(installation, number, number % hostCount, customer, keys[customer], history, random)
+                tasks.start { caller.run { record.nowMillis > endMillis + CALM_MILLIS } }
+            }
+            val occupied = ConcurrentHashMap.newKeySet<DisturbedPart>()
+            val disturbers = List(DISTURBERS) { number ->
+                val disturber = Disturber(installation, history, Random(seed * SEED_STEP - 1 - number), occupied)
+                tasks.start { disturber.run { record.nowMillis > endMillis } }
+            }
+            awaitAll(disturbers + callers)
+        }
+        Thread.sleep(CALM_MILLIS)
+        return check(installation, history)
+    }
+
+    private fun awaitAll(tasks: List<Future<*>>) = tasks.forEach {
+        it.get(END_TIMEOUT_SECONDS + seconds, TimeUnit.SECONDS)
+    }
+
+    private fun check(installation: LaneInstallation, history: SoakHistory): Verdict {
+        val platform = installation.platform
+        val findings = platform.onLoop {
+            platform.group.primary()?.let { SoakChecks(history, platform.history, it.log).findings() }
+        } ?: return Verdict.NotRun("no target leads at the end")
+        val statements = history.statements()
+        val doneCount = statements.count { it.answer.isDone }
+        if (doneCount == 0) return Verdict.NotRun("no statement succeeded")
+        val summary = "$doneCount of ${statements.size} statements done, ${history.disturbances().size} disturbances"
+        return Verdict.of(findings.isNotEmpty(), (findings + summary).joinToString("; "))
+    }
+
+    private companion object {
+        const val CALLERS_PER_HOST = 3
+        const val DISTURBERS = 3
+        const val SEED_STEP = 1_000L
+
+        /** How long callers go on after the last disturbance has begun, and replicas settle after that. */
+        const val CALM_MILLIS = 3_000L
+        const val END_TIMEOUT_SECONDS = 60L
+    }
+}
--- /dev/null
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
@@ -0,0 +1,135 @@
+package dev.cardamomlane.standin.lane.soak
+
+import dev.cardamomlane.standin.lane.caller.CallerAnswer
+import dev.cardamomlane.standin.lane.target.GroupFixture
+import dev.cardamomlane.standin.lane.target.TargetLog
+import dev.cardamomlane.standin.lane.wire.PlatformWords
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+/** What the checks of a soak find, and what they excuse. */
+class SoakChecksTest {
+    private val fixture = GroupFixture()
+    private val history = SoakHistory()
+
+    private fun findings() = SoakChecks(history, fixture.history, checkNotNull(fixture.group.primary()).log).findings()
+
+    private fun finding() = findings().single()
+
+    private fun answered(answer: CallerAnswer, sentMillis: Long = 0, endedMillis: Long = sentMillis + 10) {
+        history.add(SoakStatement("h", "key", isCommit = true, sentMillis, endedMillis, answer))
+    }
+
+    private fun done(id: String, sentMillis: Long = 0) = answered(CallerAnswer(id, null, digest = "a.1"), sentMillis)
+
+    private fun cut(id: String, sentMillis: Long, endedMillis: Long) {
+        fixture.history.onBegun("a", id)
+        answered(CallerAnswer(id, null, isCut = true), sentMillis, endedMillis)
+    }
+
+    private fun commit(id: String) {
+        fixture.a.commit(id, mapOf("1a" to id)) {}
+        fixture.timers.advance(1)
+    }
+
+    private fun disturb(kind: DisturbanceKind, subject: String, startMillis: Long, endMillis: Long) =
+        history.add(Disturbance(kind, subject, startMillis, endMillis))
+
+    @Test
+    fun `an acknowledged write that is kept breaks nothing`() {
+        commit("w")
+        done("w")
+        assertEquals(emptyList(), findings())
+    }
+
+    @Test
+    fun `an acknowledged write that a promotion rolled back is excused`() {
+        fixture.a.commit("w", mapOf("1a" to "x")) {}
+        fixture.a.crash()
+        fixture.group.promote("b")
+        fixture.timers.advance(300)
+        fixture.a.start()
+        done("w")
+        assertEquals(emptyList(), findings())
+    }
+
+    @Test
+    fun `an acknowledged write at an old primary is found`() {
+        fixture.group.promote("b")
+        fixture.timers.advance(300)
+        commit("late")
+        fixture.timers.advance(2_000)
+        done("late")
+        assertContains(finding(), "at an old primary after a promotion: [late]")
+    }
+
+    @Test
+    fun `an acknowledged write that is missing for another reason is found`() {
+        commit("w")
+        done("w")
+        fixture.group.promote("b")
+        fixture.timers.advance(2_000)
+        fixture.b.log.copyFrom(TargetLog())
+        assertContains(finding(), "are lost: [w]")
+    }
+
+    @Test
+    fun `a write that was refused as not run but is kept is found`() {
+        commit("w")
+        answered(CallerAnswer("w", PlatformWords.BUSY))
+        assertContains(finding(), "told that they were not run: [w]")
+    }
+
+    @Test
+    fun `a write of unknown outcome may be kept`() {
+        commit("w")
+        answered(CallerAnswer("w", "UNKNOWN"))
+        assertEquals(emptyList(), findings())
+    }
+
+    @Test
+    fun `a write that stands twice is found`() {
+        commit("w")
+        commit("w")
+        assertContains(finding(), "stand twice in the log: [w]")
+    }
+
+    @Test
+    fun `a statement that a planned stop cuts is found`() {
+        disturb(DisturbanceKind.HOST_STOP, "h", startMillis = 10_000, endMillis = 18_000)
+        cut("r", sentMillis = 14_000, endedMillis = 15_400)
+        assertContains(finding(), "cut by a planned stop: [r]")
+    }
+
+    @Test
+    fun `a cut is excused near the end of the grace time, beside a crash, or at another host`() {
+        disturb(DisturbanceKind.HOST_STOP, "h", startMillis = 10_000, endMillis = 18_000)
+        cut("early", sentMillis = 12_000, endedMillis = 15_400)
+        disturb(DisturbanceKind.HOST_STOP, "h", startMillis = 50_000, endMillis = 58_000)
+        disturb(DisturbanceKind.TARGET_CRASH, "a", startMillis = 49_000, endMillis = 51_000)
+        cut("crashed", sentMillis = 54_000, endedMillis = 55_400)
+        disturb(DisturbanceKind.HOST_STOP, "other", startMillis = 90_000, endMillis = 98_000)
+        cut("elsewhere", sentMillis = 94_000, endedMillis = 95_400)
+        assertEquals(emptyList(), findings())
+    }
+
+    @Test
+    fun `a statement that runs with a withdrawn key is found once the time to apply it has passed`() {
+        listOf("soon", "late", "back").forEach(::commit)
+        disturb(DisturbanceKind.KEY_WITHDRAWAL, "key", startMillis = 10_000, endMillis = 16_000)
+        done("soon", sentMillis = 12_900)
+        done("late", sentMillis = 13_300)
+        done("back", sentMillis = 16_100)
+        assertContains(finding(), "1 statements ran with a withdrawn key: [late]")
+    }
+
+    @Test
+    fun `a withdrawal beside an outage of the store is excused`() {
+        commit("late")
+        disturb(DisturbanceKind.KEY_WITHDRAWAL, "key", startMillis = 10_000, endMillis = 16_000)
+        disturb(DisturbanceKind.STORE_OUTAGE, "", startMillis = 11_000, endMillis = 12_000)
+        done("late", sentMillis = 14_000)
+        assertEquals(emptyList(), findings())
+    }
+}
