standin: a case of foreign rows, and a soak that sees lost service

The soak did not look whether hosts still serve at its end, and took any acknowledged write that no target had committed for the end of a read-only transaction.

Each odd row keeps to the size of a row. The soak lets hosts recover for 12 s after its last disturbance and then counts a host that answers less than a quarter of its statements as broken; a commit counts as a write only if its transaction wrote.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
@@ -6,4 +6,5 @@
     RELEASE_AND_KILL(::ReleaseAndKill),
     STOP_IN_TRANSACTION(::StopInTransaction),
     KEY_WITHDRAWAL(::KeyWithdrawal),
+    FOREIGN_ROW(::ForeignRow),
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/ForeignRows.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/ForeignRows.kt
@@ -1,14 +1,17 @@
-package dev.cardamomlane.standin.lane.soak
+package dev.cardamomlane.standin.lane.cases
 
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 import kotlin.random.Random
 
 /** Contents of rows that another writer may leave among the entries of targets. None of them names a usable target. */
 internal object ForeignRows {
-    private const val DEPTH = 20_000
-    private val contents: List<String> = listOf(
-        "[".repeat(DEPTH) + "]".repeat(DEPTH),
-        "{\"a\":".repeat(DEPTH) + "1" + "}".repeat(DEPTH),
+    private const val ARRAY_DEPTH = 20_000
+    private const val OBJECT_DEPTH = 9_000
+
+    /** All contents, each within the size of a row. */
+    val contents: List<String> = listOf(
+        "[".repeat(ARRAY_DEPTH) + "]".repeat(ARRAY_DEPTH),
+        "{\"a\":".repeat(OBJECT_DEPTH) + "1" + "}".repeat(OBJECT_DEPTH),
         entry(slots = "1e999"),
         entry(slots = "99999999999999999999"),
         entry(slots = "\"five\""),
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
@@ -25,9 +25,6 @@
     /** Whether a target has received the statement [statementId]. */
     fun hasBegun(statementId: String): Boolean = statementId in begun
 
-    /** Whether a target has committed the statement [statementId]. */
-    fun isCommitted(statementId: String): Boolean = commitCounts.containsKey(statementId)
-
     override fun onBegun(target: String, statementId: String) {
         begun += statementId
     }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.standin.lane.soak
 
 import dev.cardamomlane.standin.lane.LaneInstallation
+import dev.cardamomlane.standin.lane.cases.ForeignRows
 import dev.cardamomlane.standin.lane.host.HostProcess
 import dev.cardamomlane.standin.lane.store.StoreOutage
 import dev.cardamomlane.standin.lane.wire.PlatformWords
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCaller.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCaller.kt
@@ -50,14 +50,21 @@
     /** Returns whether the session is left inside a transaction, which ends it. */
     private fun transact(session: CallerSession): Boolean {
         var answer = run(session, "BEGIN", isCommit = false)
+        var hasWritten = false
         repeat(random.nextInt(1, MAX_STATEMENTS)) {
             if (!answer.isDone) return answer.isInTransaction
             Thread.sleep(random.nextLong(MAX_STATEMENT_PAUSE_MILLIS))
-            answer = run(session, if (random.nextBoolean()) write() else read(), isCommit = false)
+            val isWrite = random.nextBoolean()
+            hasWritten = hasWritten || isWrite
+            answer = run(session, if (isWrite) write() else read(), isCommit = false)
         }
         if (!answer.isDone) return answer.isInTransaction
         val isRolledBack = random.nextInt(ROLLBACK_SHARE) == 0
-        return run(session, if (isRolledBack) "ROLLBACK" else "COMMIT", isCommit = !isRolledBack).isInTransaction
+        return run(
+            session,
+            if (isRolledBack) "ROLLBACK" else "COMMIT",
+            isCommit = !isRolledBack && hasWritten,
+        ).isInTransaction
     }
 
     private fun read() = "READ ${number}a"
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
@@ -25,6 +25,7 @@
         finding("writes stand twice in the log", group.repeatedCommits.filter { log.count(it) > 1 }),
         finding("statements were cut by a planned stop", cutStatements()),
         finding("statements ran with a withdrawn key", withdrawnKeyStatements()),
+        finding("hosts do not serve after the last disturbance", idleHosts()),
     ).filterNotNull()
 
     private fun finding(text: String, statementIds: List<String>): String? =
@@ -36,7 +37,7 @@
     /** What a promotion rolled back is excused, since replicas receive commits after they are acknowledged. */
     private fun lostWrites(): List<String> {
         val kept = log.statementIds()
-        return acknowledged.filter { group.isCommitted(it) && it !in kept && it !in group.rolledBackCommits }
+        return acknowledged.filter { it !in kept && it !in group.rolledBackCommits }
     }
 
     private fun lateWrites(): List<String> {
@@ -78,23 +79,37 @@
         }.map { it.answer.statementId }
     }
 
+    /** The hosts that answer less than a quarter of their statements with success once they had time to recover. */
+    private fun idleHosts(): List<String> {
+        val calmSinceMillis = (disturbances.maxOfOrNull(Disturbance::endMillis) ?: 0) + RECOVERY_MILLIS
+        return statements.groupBy(SoakStatement::host).filterValues { ofHost ->
+            val late = ofHost.filter { it.sentMillis > calmSinceMillis }
+            late.count { it.answer.isDone } * SERVED_SHARE <= late.size
+        }.keys.toList()
+    }
+
     /** Whether nothing unplanned went on from a while before [fromMillis] until [toMillis]. */
     private fun isCalm(fromMillis: Long, toMillis: Long): Boolean =
         disturbances.none { !it.kind.isPlanned && it.overlaps(fromMillis - STABLE_MILLIS, toMillis) }
 
-    private companion object {
-        const val STABLE_MILLIS = 4_000L
+    companion object {
+        /** How long after the last disturbance the hosts may need to serve again. */
+        const val RECOVERY_MILLIS = 12_000L
+
+        /** At least one statement in this many must succeed then. */
+        private const val SERVED_SHARE = 4
+        private const val STABLE_MILLIS = 4_000L
 
         /** The bound of 3 s, and some time until the configuration is written. */
-        const val APPLY_MILLIS = 3_200L
-        const val EARLY_MILLIS = 3_000L
+        private const val APPLY_MILLIS = 3_200L
+        private const val EARLY_MILLIS = 3_000L
 
         /** How long after the grace time a cut still belongs to the stop. */
-        const val STOP_END_MILLIS = 1_000L
-        const val MAX_NAMED = 5
+        private const val STOP_END_MILLIS = 1_000L
+        private const val MAX_NAMED = 5
 
         /** With these codes nothing of the caller's attempt is kept. */
-        val NOT_RUN_CODES = setOf(
+        private val NOT_RUN_CODES = setOf(
             PlatformWords.BUSY,
             PlatformWords.LAGGING,
             PlatformWords.READ_ONLY,
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.io.path.bufferedWriter
 import kotlin.random.Random
 
@@ -57,20 +58,24 @@
         val history = SoakHistory()
         val keys = installation.customers.map { it.keys.first() }
         val endMillis = record.nowMillis + TimeUnit.SECONDS.toMillis(seconds)
+        val areCallersOver = AtomicBoolean()
         BackgroundTasks().use { tasks ->
             val callers = List(hostCount * CALLERS_PER_HOST) { number ->
                 val customer = number % keys.size
                 val random = Random(seed * SEED_STEP + number)
                 val caller =
                     SoakCaller(installation, number, number % hostCount, customer, keys[customer], history, random)
-                tasks.start { caller.run { record.nowMillis > endMillis + CALM_MILLIS } }
+                tasks.start { caller.run(areCallersOver::get) }
             }
             val occupied = ConcurrentHashMap.newKeySet<DisturbedPart>()
             val disturbers = List(DISTURBERS) { number ->
                 val disturber = Disturber(installation, history, Random(seed * SEED_STEP - 1 - number), occupied)
                 tasks.start { disturber.run { record.nowMillis > endMillis } }
             }
-            awaitAll(disturbers + callers)
+            awaitAll(disturbers)
+            Thread.sleep(SoakChecks.RECOVERY_MILLIS + CALM_MILLIS)
+            areCallersOver.set(true)
+            awaitAll(callers)
         }
         Thread.sleep(CALM_MILLIS)
         return check(installation, history)
@@ -97,7 +102,7 @@
         const val DISTURBERS = 3
         const val SEED_STEP = 1_000L
 
-        /** How long callers go on after the last disturbance has begun, and replicas settle after that. */
+        /** How long callers go on once the hosts had time to recover, and replicas settle after that. */
         const val CALM_MILLIS = 3_000L
         const val END_TIMEOUT_SECONDS = 60L
     }
--- a/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
@@ -12,14 +12,29 @@
 class SoakChecksTest {
     private val fixture = GroupFixture()
     private val history = SoakHistory()
+    private var hasRecovered = true
 
-    private fun findings() = SoakChecks(history, fixture.history, checkNotNull(fixture.group.primary()).log).findings()
+    private fun findings(): List<String> {
+        if (hasRecovered) recover()
+        return checks()
+    }
+
+    private fun checks() = SoakChecks(history, fixture.history, checkNotNull(fixture.group.primary()).log).findings()
 
     private fun finding() = findings().single()
 
-    private fun answered(answer: CallerAnswer, sentMillis: Long = 0, endedMillis: Long = sentMillis + 10) {
-        history.add(SoakStatement("h", "key", isCommit = true, sentMillis, endedMillis, answer))
-    }
+    /** Statements that succeed after all disturbances of a test, so that the host counts as serving. */
+    private fun recover() = repeat(2) { read("r$it", sentMillis = END_MILLIS) }
+
+    private fun read(id: String, sentMillis: Long) =
+        answered(CallerAnswer(id, null, digest = "a.1"), sentMillis, isCommit = false)
+
+    private fun answered(
+        answer: CallerAnswer,
+        sentMillis: Long = 0,
+        endedMillis: Long = sentMillis + 10,
+        isCommit: Boolean = true,
+    ) = history.add(SoakStatement("h", "key", isCommit, sentMillis, endedMillis, answer))
 
     private fun done(id: String, sentMillis: Long = 0) = answered(CallerAnswer(id, null, digest = "a.1"), sentMillis)
 
@@ -43,6 +58,12 @@
         assertEquals(emptyList(), findings())
     }
 
+    @Test
+    fun `an acknowledged write that no target committed is found`() {
+        done("w")
+        assertContains(finding(), "are lost: [w]")
+    }
+
     @Test
     fun `an acknowledged write that a promotion rolled back is excused`() {
         fixture.a.commit("w", mapOf("1a" to "x")) {}
@@ -132,4 +153,16 @@
         done("late", sentMillis = 14_000)
         assertEquals(emptyList(), findings())
     }
+
+    @Test
+    fun `a host that does not serve after the last disturbance is found`() {
+        hasRecovered = false
+        disturb(DisturbanceKind.STORE_OUTAGE, "", startMillis = 10_000, endMillis = 12_000)
+        read("r", sentMillis = 9_000)
+        assertContains(finding(), "do not serve after the last disturbance: [h]")
+    }
+
+    private companion object {
+        const val END_MILLIS = 200_000L
+    }
 }
