engine: heartbeats from the future are counted and logged

Refusing to date such heartbeats hid the wrong clocks that ClockFaultsTest keeps to show that its schedules can fail: nothing was dated ahead any more. The refusal is now an event (fleet/heartbeat_from_future) and a gauge, and the schedules look for it: the two rejected clocks must still be found by it, CLOCK_BOOTTIME must not.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -206,6 +206,9 @@
     /** Takes over the requests to drain zones that the host [from] knows, if they are newer. */
     public fun learnDrains(drains: ZoneDrains, from: String): Unit = knownDrains.learn(drains, from)
 
+    /** The number of heartbeats of other hosts that were not dated, as a clock is wrong. */
+    public val futureHeartbeatCount: Long get() = fleet.futureHeartbeatCount
+
     /** The number of targets that warm up now. */
     public fun warmingTargetCount(): Int =
         groups.values.sumOf { group -> group.targets.count { it.zoneGate.isWarmingUp(timers.nowMillis()) } }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -216,6 +216,10 @@
         return MemberList(others + ListedMember(self, delegate.isReady), delegate.configurationVersion)
     }
 
+    /** The number of heartbeats that were not dated, see [Peer.isFromFuture]. */
+    public var futureHeartbeatCount: Long = 0
+        private set
+
     private fun onHeartbeat(message: PeerMessage) {
         val peer = peersByName[message.from]
         if (peer == null || peer.member.incarnation != message.incarnation) {
@@ -225,7 +229,12 @@
         }
         val heartbeat = peer.decode(message) ?: return
         val nowMillis = timers.nowMillis()
+        val wasFromFuture = peer.isFromFuture
         if (!peer.receive(heartbeat, self.incarnation, nowMillis)) return
+        if (peer.isFromFuture) {
+            futureHeartbeatCount++
+            if (!wasFromFuture) log.event("fleet", "heartbeat_from_future", "member", message.from)
+        }
         val orders = message.orders.orEmpty().associateBy { it.group }
         val records = heartbeat.groups.mapNotNull { it.record(orders[it.group]?.order()) }
         val hasProof = isInformed && heartbeat.proofAgeMillis >= 0 && peer.sentNotBeforeMillis > GroupRecords.NEVER
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Peer.kt
@@ -32,6 +32,13 @@
     public var sentNotBeforeMillis: Long = GroupRecords.NEVER
         private set
 
+    /**
+     * True when [lastHeartbeat] says that it was sent later than it arrived: the peer's clock or this host's is wrong. Such
+     * a heartbeat is not dated.
+     */
+    public var isFromFuture: Boolean = false
+        private set
+
     /** Returns the heartbeat that [message] carries, or null when it carries none that can be decoded here. */
     internal fun decode(message: PeerMessage): Heartbeat? {
         if (message.readsCompressed || message.compressed != null) encoder.onPeerReads()
@@ -48,9 +55,9 @@
         lastHeartbeat = heartbeat
         receivedAtMillis = nowMillis
         val notBeforeMillis = heartbeat.answeredSentAtMillis + heartbeat.answeredHeldMillis
-        val isDated = heartbeat.answeredSentAtMillis >= 0 && heartbeat.answeredIncarnation == ownIncarnation &&
-            notBeforeMillis <= nowMillis
-        if (isDated) {
+        val isAnswer = heartbeat.answeredSentAtMillis >= 0 && heartbeat.answeredIncarnation == ownIncarnation
+        isFromFuture = isAnswer && notBeforeMillis > nowMillis
+        if (isAnswer && !isFromFuture) {
             sentNotBeforeMillis = notBeforeMillis
             encoder.onAcknowledged(heartbeat.answeredSentAtMillis)
         } else {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -133,6 +133,7 @@
         processes.getValue(name).stop()
         links.disconnect(name)
     }
+
     /** The machine on which the host [name] runs. */
     fun machine(name: String): SimulatedMachine = machines.getOrPut(name) { SimulatedMachine(timers, clockReading) }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/ClockFaults.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/ClockFaults.kt
@@ -57,6 +57,7 @@
     private fun checkDates() {
         fixture.hosts.forEachIndexed { index, host ->
             if (fixture.machine("host-$index").isSuspended) return@forEachIndexed
+            if (host.futureHeartbeatCount > 0) found += "host-$index got a heartbeat from the future"
             if (host.proofAgeMillis() < 0) found += "host-$index holds proof from the future"
             val positionAgesMillis = host.groupStatuses(fixture.machine("host-$index").nowMillis())
                 .map { it.positionAgeMillis }
