takeover: a confirmation binds a host until a primary is published

Cause: WriteGate compared the confirmed fence with the record's newest fence for equality. A takeover that lost its holder is claimed again under a higher fence, and a host that had confirmed the first claim counted as not having confirmed the second one for up to 350 ms.

Change: the record names the fence of its takeover's first claim. A host that has confirmed any claim from that one on stays bound until a primary is published, and members' confirmations count the same way for a later holder. The grace time of open transactions counts from the first claim, and another claim no longer puts off the end of writes under way. Rows and heartbeats of an earlier build lack the field; each of their claims starts a takeover of its own.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
@@ -184,16 +184,18 @@
             "fleet", "primary_found", "group", group.id.value, "primary", primary?.entry?.id?.value,
             "recorded", known?.primary?.value, "term", survey.term,
         )
+        val fence = GroupRecord.nextFence(known, rows.epoch)
         return GroupRecord(
             group = group.id,
             position = groupRecords.rowPosition(group.id),
-            fence = GroupRecord.nextFence(known, rows.epoch),
+            fence = fence,
             primary = (primary ?: group.primary)?.entry?.id ?: GroupRecord.NO_TARGET,
             isChanging = primary == null,
             isPlanned = false,
             holder = selfName,
             term = if (primary == null) maxOf(0, survey.term - 1) else survey.term,
             order = order,
+            takeoverFence = known?.takeoverFenceOf(fence) ?: fence,
         )
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -137,7 +137,7 @@
         val groups = delegate.groupStatuses(nowMillis)
         val demand = delegate.demand(nowMillis)
         val capacities = delegate.capacityReports()
-        val orders = OrderStatus.of(groupRecords.all)
+        val details = RecordDetail.of(groupRecords.all)
         if (!isRegistered) return
         val heardMembers = heardMembers(nowMillis)
         heartbeatAtMillis = nowMillis
@@ -158,7 +158,7 @@
                 demand = demand,
             )
             val datagram = peer.encoder.encode(self.name, self.incarnation, message)
-            network.send(peer.member.address, datagram.copy(capacities = capacities, orders = orders))
+            network.send(peer.member.address, datagram.copy(capacities = capacities, details = details))
         }
     }
 
@@ -226,8 +226,8 @@
         val heartbeat = peer.decode(message) ?: return
         val nowMillis = timers.nowMillis()
         if (!peer.receive(heartbeat, self.incarnation, nowMillis)) return
-        val orders = message.orders.orEmpty().associateBy { it.group }
-        val records = heartbeat.groups.mapNotNull { it.record(orders[it.group]?.order()) }
+        val details = message.details.orEmpty().associateBy { it.group }
+        val records = heartbeat.groups.mapNotNull { it.record(details[it.group]) }
         val hasProof = isInformed && heartbeat.proofAgeMillis >= 0 && peer.sentNotBeforeMillis > GroupRecords.NEVER
         groupRecords.learn(
             records,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupStatus.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupStatus.kt
@@ -4,7 +4,6 @@
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.GroupRecord
-import dev.cardamomlane.engine.group.PromotionOrder
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborArray
@@ -18,8 +17,8 @@
  * @property positionAgeMillis age of the newest log position of the primary, or -1 when the sender knows none
  * @property primaryHeardMillis how long ago the primary answered the sender, or -1 when it never did
  * @property unreachable the targets that do not answer the sender
- * @property confirmedFence the fence of the last takeover record under which the sender has confirmed that it sends
- *   and acknowledges no more writes, or 0
+ * @property confirmedFence the fence of the claim for which the sender has confirmed that it sends and acknowledges no
+ *   more writes until a new primary is published, or 0
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -40,8 +39,8 @@
     val unreachable: List<String>,
     val confirmedFence: Long,
 ) {
-    /** The record that the sender knows, or null when it knows none. Its [order] is reported as an [OrderStatus]. */
-    public fun record(order: PromotionOrder?): GroupRecord? = if (fence == 0L) {
+    /** The record that the sender knows, or null when it knows none. [detail] adds the rest of it, if any. */
+    public fun record(detail: RecordDetail?): GroupRecord? = if (fence == 0L) {
         null
     } else {
         GroupRecord(
@@ -53,7 +52,8 @@
             isPlanned,
             holder,
             recordTerm,
-            order,
+            detail?.order?.order(),
+            detail?.takeoverFence ?: fence,
         )
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -14,7 +14,8 @@
  * @property capacities what the sender of a heartbeat measured at the targets; hosts of earlier builds ignore it
  * @property drains the newest drains that the sender knows; null from a host that drains no zones, or from an older
  *   build
- * @property orders the orders in the records that the heartbeat reports; null when there are none, or from an older build
+ * @property details what the statuses of the heartbeat don't say of their records; null when there is nothing, or from an
+ *   older build
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -28,5 +29,5 @@
     @CborLabel(7) val readsCompressed: Boolean = false,
     @CborLabel(8) val capacities: List<CapacityReport>? = null,
     @CborLabel(9) val drains: ZoneDrains? = null,
-    @CborLabel(10) val orders: List<OrderStatus>? = null,
+    @CborLabel(10) val details: List<RecordDetail>? = null,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -115,16 +115,18 @@
         val old = groupRecords.record(group.id)
         val expected = groupRecords.rowPosition(group.id)
         val primaryId = old?.primary ?: group.primary?.entry?.id ?: GroupRecord.NO_TARGET
+        val fence = GroupRecord.nextFence(old, expected.epoch)
         val record = GroupRecord(
             group = group.id,
             position = expected,
-            fence = GroupRecord.nextFence(old, expected.epoch),
+            fence = fence,
             primary = primaryId,
             isChanging = true,
             isPlanned = isPlanned,
             holder = self,
             term = old?.term ?: 0,
             order = old?.order.takeIf { orders.target(nowMillis) != null },
+            takeoverFence = old?.takeoverFenceOf(fence) ?: fence,
         )
         log.event(
             "takeover", "claim", "group", group.id.value, "reason", reason, "fence", record.fence,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverDrain.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverDrain.kt
@@ -28,10 +28,11 @@
         return nowMillis - since > TOO_FEW_ALIVE_MILLIS
     }
 
-    /** True when this host and every other member have confirmed [claim]. */
-    fun isConfirmed(claim: GroupRecord): Boolean = group.confirmedFence == claim.fence && fleet.peers.all { peer ->
-        (peer.groupStatus(group.id.value)?.confirmedFence ?: 0) >= claim.fence
-    }
+    /** True when this host and every other member have confirmed [claim], or an earlier one of the same takeover. */
+    fun isConfirmed(claim: GroupRecord): Boolean =
+        group.confirmedFence >= claim.takeoverFence && fleet.peers.all { peer ->
+            (peer.groupStatus(group.id.value)?.confirmedFence ?: 0) >= claim.takeoverFence
+        }
 
     /**
      * True when all proof that hosts got before they knew of the claim has expired. They can't have got such proof from
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -47,7 +47,7 @@
     /** The writes that are under way, and whether they may go on during a takeover. */
     internal val writes = WriteGate(id, records, timers, isPrimary = { it === primary })
 
-    /** The fence of the newest takeover for which this host has stopped sending and acknowledging writes. */
+    /** The fence of the claim for which this host has stopped sending and acknowledging writes, or 0. */
     public val confirmedFence: Long get() = writes.confirmedFence
 
     /** Called when [confirmedFence] changes. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
@@ -18,6 +18,8 @@
  * @property isPlanned true when the old primary still works, so that open transactions may finish before the takeover
  * @property holder the host and incarnation that runs or ran the takeover, as `host#incarnation`
  * @property term the log term of [primary], or an earlier one when that is not known
+ * @property takeoverFence the fence of the first claim of the takeover that is or was under way; a takeover that lost its
+ *   holder is claimed again under a higher fence
  * @property order the newest order of a promotion that may still be carried out, or null when there is none
  */
 public data class GroupRecord(
@@ -30,6 +32,7 @@
     val holder: String,
     val term: Long,
     val order: PromotionOrder? = null,
+    val takeoverFence: Long = fence,
 ) {
     /** How many orders have been stored under [fence]. */
     private val orderCount: Int get() = order?.takeIf { it.fence == fence }?.attempt ?: 0
@@ -43,6 +46,9 @@
         { if (it.isChanging) it.orderCount else 0 },
     ) > 0
 
+    /** The first fence of the takeover that a claim under [newFence] continues, or [newFence] if it starts one. */
+    public fun takeoverFenceOf(newFence: Long): Long = if (isChanging) takeoverFence else newFence
+
     public companion object {
         /** The primary in a record when none is known. */
         public val NO_TARGET: TargetId = TargetId("-")
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/WriteGate.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/WriteGate.kt
@@ -10,7 +10,8 @@
  *
  * A takeover waits until every host has confirmed that it does neither any more. This host confirms once its writes
  * have their answers and, in a planned takeover, its open transactions have ended; after a short grace time it stops
- * waiting for them.
+ * waiting for them. The confirmation binds it for every later claim of the same takeover, until a new primary is
+ * published: the holder that it was given to may have ordered a promotion before it was lost.
  *
  * Not safe for use by several threads.
  *
@@ -25,8 +26,9 @@
     private val inFlightWrites = LinkedHashSet<InFlightWrite>()
     private val openTransactions = HashSet<Any>()
     private var takeoverAtMillis = GroupRecords.NEVER
+    private var takeoverFence = 0L
 
-    /** The fence of the newest takeover that this host has confirmed, or 0. */
+    /** The fence of the claim that this host has confirmed in the takeover under way, or 0. */
     var confirmedFence: Long = 0
         private set
 
@@ -71,21 +73,26 @@
     fun isReplaced(target: Target): Boolean =
         records.record(group)?.let { it.primary != target.entry.id || isConfirmed(it) } ?: false
 
-    private fun isConfirmed(record: GroupRecord) = record.isChanging && confirmedFence == record.fence
+    private fun isConfirmed(record: GroupRecord) = record.isChanging && confirmedFence >= record.takeoverFence
 
-    /** A takeover has begun, whose claim is [record]. */
+    /** A takeover was claimed with [record]. Another claim of the same one changes nothing. */
     fun onTakeover(record: GroupRecord) {
+        if (record.takeoverFence == takeoverFence) return confirmIfDrained()
+        takeoverFence = record.takeoverFence
         takeoverAtMillis = timers.nowMillis()
         timers.after(if (record.isPlanned) PLANNED_GRACE_MILLIS else UNPLANNED_GRACE_MILLIS) { abandonWrites(record) }
         confirmIfDrained()
     }
 
     /** A takeover has ended with [record]: writes at another target than its primary are abandoned. */
-    fun onPublished(record: GroupRecord) = abandonWrites(record)
+    fun onPublished(record: GroupRecord) {
+        confirmedFence = 0
+        abandonWrites(record)
+    }
 
     private fun abandonWrites(record: GroupRecord) {
         val newest = records.record(group) ?: record
-        if (newest.fence > record.fence || newest.isChanging != record.isChanging) return
+        if (newest.takeoverFence != record.takeoverFence || newest.isChanging != record.isChanging) return
         for (write in inFlightWrites.toList()) {
             if (record.isChanging || record.primary != write.target.entry.id) write.abandon()
         }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
@@ -1,6 +1,8 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.codec.CborMessages
+import dev.cardamomlane.engine.group.PromotionOrder
 import dev.cardamomlane.engine.zone.ZoneDrains
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -50,6 +52,20 @@
         assertEquals(sent.copy(drains = null), decoded)
     }
 
+    /** Guards against a host that learns a claim from another one without the order that may still be carried out. */
+    @Test
+    fun `a heartbeat brings the order and the first fence of a record, and the build before ignores both`() {
+        val status = GroupStatus("g", StorePosition(1, 7), 5, "t", true, true, "h#1", 3, 3, 9, 1, 5, listOf(), 4)
+        val record = status.record(null)!!
+            .copy(order = PromotionOrder(TargetId("u"), fence = 5, attempt = 2, openCount = 2), takeoverFence = 4)
+        val sent = PeerMessage("a", incarnation = 1, details = RecordDetail.of(listOf(record)))
+        val bytes = PeerCodec.encode(sent)
+
+        assertEquals(record, status.record(PeerCodec.decode(bytes)?.details?.single()))
+        assertEquals(PreviousMessage("a", 1), CborMessages(PreviousMessage.serializer()).decode(bytes))
+        assertNull(RecordDetail.of(listOf(status.record(null)!!)))
+    }
+
     @Test
     fun `bytes that are no message decode to null`() {
         for (bytes in listOf(byteArrayOf(), byteArrayOf(1, 2, 3), "START a".toByteArray())) {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverSimulationTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverSimulationTest.kt
@@ -16,7 +16,8 @@
 
     /**
      * Guards against an order that got no answer and is forgotten: a second target was ordered under the same fence, and
-     * the published primary was deposed by the first order.
+     * the published primary was deposed by the first order. Guards also against a confirmation that did not bind a host
+     * once its takeover was claimed again, so that it acknowledged commits of the old primary.
      */
     @Test
     fun `no schedule of late and lost orders, killed holders and repeated claims breaks a rule`() {
