takeover: wait for a replica that has left the list

Where a commit is acknowledged once a replica has it, a replica that was silent for so long that it left the list may be the only one that has an acknowledged commit.

Cause: the wait for every replica left out those that are not listed.

Evidence: TakeoverTest, `a takeover that needs every replica waits for one that has left the list, and promotes it when it is back`, failed before (r1 was promoted under fence 1) and passes, with the other 12 and RestoredStoreTest. FleetSimulationTest was not run again after this commit; its groups don't wait for replicas.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TargetChoice.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TargetChoice.kt
@@ -79,8 +79,9 @@
     private fun keepIf(isDue: Boolean, old: Target?, reason: String): TakeoverStep =
         if (isDue && old != null) TakeoverStep.Keep(old, reason) else TakeoverStep.Wait
 
+    /** A replica that has recently left the list counts as well: it may be back, and may have what no other one has. */
     private fun hasAllReplicas(record: GroupRecord, answers: Map<Target, TargetStatus>): Boolean =
-        group.targets.filter { it.goneAtMillis == null && it.entry.id != record.primary }.all { it in answers }
+        group.targets.filter { it.entry.id != record.primary }.all { it in answers }
 
     companion object {
         /** How long a replica may take to catch up with an old primary that still answers, before that one is kept. */
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -74,6 +74,28 @@
         assertEquals(listOf("r1" to 1L), fixture.promotions)
     }
 
+    /** Guards against the loss of a commit that only a replica has which was silent for so long that it left the list. */
+    @Test
+    fun `a takeover that needs every replica waits for one that has left the list, and promotes it when it is back`() {
+        val fixture = HostFixture(hostCount = 3, isReplicatedBeforeAcknowledged = true)
+        useEverywhere(fixture)
+        fixture.timers.advance(200)
+        fixture.targets.target("r2").position = LogPosition(1, 9)
+        crash("r2", fixture)
+        val without = listOf(targetEntry("p", isPrimary = true), targetEntry("r1"))
+        fixture.hosts.forEach { it.updateTargets(without, StorePosition(1, 2)) }
+        crash("p", fixture)
+        useEverywhere(fixture)
+        fixture.timers.advance(4_000)
+        assertTrue(fixture.promotions.isEmpty(), "${fixture.promotions}")
+
+        fixture.targets.target("r2").isDown = false
+        fixture.hosts.forEach { it.updateTargets(without + targetEntry("r2"), StorePosition(1, 3)) }
+        fixture.timers.advance(4_000)
+
+        assertEquals("r2", fixture.promotions.single().first)
+    }
+
     @Test
     fun `a member that has just lost its seat acknowledges no write of a primary that is being replaced`() {
         val fixture = HostFixture(hostCount = 14, settleMillis = 3_000)
