--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheckTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheckTest.kt
@@ -56,7 +56,8 @@
         primaryHeardMillis = 5, unreachable = listOf("u"), confirmedFence = 1,
     )
     private val heartbeat = Heartbeat(
-        sentAtMillis = 1, answeredSentAtMillis = 500, answeredIncarnation = 1, answeredHeldMillis = 10, proofAgeMillis = 0,
+        sentAtMillis = 1, answeredSentAtMillis = 500, answeredIncarnation = 1, answeredHeldMillis = 10,
+        proofAgeMillis = 0,
         membersHash = listOf("a", "b").hashCode(), configurationVersion = 1, isInformed = true, isReady = true,
         heardMembers = listOf("a"), groups = listOf(status), demand = listOf(CustomerDemand("c", 1f, 2)),
     )
