limits: a member to which a customer is new counts what others gave it before

Cause: reports of customers that a member did not serve yet were dropped, and the first request of such a customer filled its allowance from the member's own start, up to a second's rate. Reports of a restarted member were dropped if it had been silent, and what a killed member had given out since its last report was never counted.

Change: RecentUse keeps for 5 s what others report of customers that are new to a member, and the allowance starts from what is left. Once a member's report is overdue, a second of its customers' demand counts as spent until it reports again. A report of a new incarnation counts from its start. Reports of a member heard for the first time count as recent unless the demand there is within the rate.

Evidence: MovingCustomerTest, a customer that moves whenever its host stops or is killed, with reports lost, late and repeated.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
@@ -21,7 +21,9 @@
  * receives.
  *
  * When the host starts, no tokens remain, and after a pause at most [MAX_FILL_MILLIS] are refilled. So a host that was
- * restarted or paused adds no burst of its own.
+ * restarted or paused adds no burst of its own. Nor does a host to which a customer is new: it counts what the other hosts
+ * reported to have admitted before. What a host may have admitted since its last report, when its next one is overdue, is taken
+ * to be spent until it reports again.
  *
  * Not safe for use by several threads.
  *
@@ -33,11 +35,13 @@
     private val states = HashMap<CustomerId, CustomerState>()
     private val reportByHost = HashMap<HostId, HostReport>()
     private val admittedByHost = HashMap<HostId, AdmittedCounts>()
+    private val useElsewhere = HashMap<CustomerId, RecentUse>()
     private var lastReportMillis: Long? = null
 
     /** Takes one token of [customer], whose allowance [hostCount] hosts share, or refuses with the time to wait. */
     public fun admit(customer: CustomerId, allowance: Allowance, hostCount: Int, nowMillis: Long): Admission {
         require(hostCount >= 1) { "hostCount must be at least 1 but was $hostCount" }
+        writeOffOverdue(nowMillis)
         val state = states.getOrPut(customer) { newState(customer, allowance, nowMillis) }
         state.allowance = allowance
         state.arrivals++
@@ -52,6 +56,7 @@
      */
     public fun onRequest(customer: CustomerId, allowance: Allowance, hostCount: Int, nowMillis: Long): TokenBudget {
         require(hostCount >= 1) { "hostCount must be at least 1 but was $hostCount" }
+        writeOffOverdue(nowMillis)
         val state = states.getOrPut(customer) { newState(customer, allowance, nowMillis) }
         state.allowance = allowance
         state.arrivals++
@@ -77,6 +82,7 @@
      * [hostCount] hosts. Leaves out customers with hardly any demand.
      */
     public fun report(hostCount: Int, nowMillis: Long): Map<CustomerId, CustomerUsage> {
+        writeOffOverdue(nowMillis)
         val previousMillis = lastReportMillis
         lastReportMillis = nowMillis
         val elapsedMillis = if (previousMillis == null) FIRST_REPORT_MILLIS else maxOf(1, nowMillis - previousMillis)
@@ -94,10 +100,50 @@
         val isKnownHost = host in admittedByHost
         val earlier = admittedByHost[host]?.takeIf { it.incarnation == incarnation }
         val admitted = earlier ?: AdmittedCounts(incarnation).also { admittedByHost[host] = it }
-        val wasSilent = reportByHost.put(host, HostReport(usages, nowMillis)) == null
+        val previous = reportByHost.put(host, HostReport(usages, nowMillis))
+        if (earlier != null) previous?.takeBackWrittenOff()
         for ((customer, use) in usages) {
             val before = admitted.countByCustomer.put(customer, use.admittedCount) ?: 0
-            if (isKnownHost && !wasSilent) states[customer]?.onAdmitted(use.admittedCount - before)
+            val count = (use.admittedCount - before).toDouble()
+            if (!isKnownHost) {
+                onUnknownUse(customer, use.demandPerSecond, count, nowMillis)
+            } else if (earlier == null || previous != null) {
+                onAdmittedElsewhere(customer, RecentUse.Use(nowMillis, count))
+            }
+        }
+    }
+
+    /**
+     * A host that was unknown has admitted [count] requests at some time. Unless the customer keeps to its rate there, they
+     * are taken to be recent.
+     */
+    private fun onUnknownUse(customer: CustomerId, demandPerSecond: Double, count: Double, nowMillis: Long) {
+        onAdmittedElsewhere(customer, RecentUse.Use(nowMillis, count, isUpperBound = true, demandPerSecond))
+    }
+
+    /** Returns how to undo it. */
+    private fun onAdmittedElsewhere(customer: CustomerId, use: RecentUse.Use): () -> Unit {
+        val state = states[customer]
+        if (state != null) {
+            val taken = state.take(use)
+            return { state.giveBack(taken) }
+        }
+        val recent = useElsewhere.getOrPut(customer) { RecentUse(startedAtMillis) }
+        recent.add(use)
+        return { recent.remove(use) }
+    }
+
+    /** Takes what hosts may have admitted since their last reports to be spent, once the next reports are overdue. */
+    private fun writeOffOverdue(nowMillis: Long) {
+        for (report in reportByHost.values) {
+            if (report.isWrittenOff || nowMillis - report.receivedAtMillis <= OVERDUE_MILLIS) continue
+            report.isWrittenOff = true
+            for ((customer, use) in report.usages) {
+                if (use.demandPerSecond <= 0) continue
+                val tokens = use.demandPerSecond * MAX_FILL_MILLIS / MILLIS_PER_SECOND
+                report.writtenOff +=
+                    onAdmittedElsewhere(customer, RecentUse.Use(nowMillis, tokens, isUpperBound = true))
+            }
         }
     }
 
@@ -112,7 +158,10 @@
      */
     private fun newState(customer: CustomerId, allowance: Allowance, nowMillis: Long): CustomerState {
         val othersPerSecond = reportByHost.values.sumOf { it.usages[customer]?.demandPerSecond ?: 0.0 }
-        return CustomerState(allowance, if (othersPerSecond <= allowance.ratePerSecond) startedAtMillis else nowMillis)
+        val recent = useElsewhere.remove(customer) ?: RecentUse(startedAtMillis)
+        if (othersPerSecond > allowance.ratePerSecond) return CustomerState(allowance, nowMillis)
+        val maxTokens = minOf(allowance.burst, allowance.ratePerSecond * MAX_FILL_MILLIS / MILLIS_PER_SECOND)
+        return CustomerState(allowance, nowMillis, recent.remainingTokens(allowance, maxTokens, nowMillis))
     }
 
     private fun shares(customer: CustomerId, state: CustomerState, hostCount: Int, nowMillis: Long): Shares {
@@ -141,7 +190,15 @@
         )
     }
 
-    private class HostReport(val usages: Map<CustomerId, CustomerUsage>, val receivedAtMillis: Long)
+    private class HostReport(val usages: Map<CustomerId, CustomerUsage>, val receivedAtMillis: Long) {
+        /** True once what the host may have admitted since then counts as spent, as its next report is overdue. */
+        var isWrittenOff = false
+
+        /** Undo that, one for each customer. */
+        val writtenOff = ArrayList<() -> Unit>()
+
+        fun takeBackWrittenOff(): Unit = writtenOff.forEach { it() }
+    }
 
     /** How many requests of each customer a host admitted in one incarnation. */
     private class AdmittedCounts(val incarnation: Long) {
@@ -156,7 +213,11 @@
     private class Shares(val ownShare: Double, val knownShare: Double, val isSole: Boolean)
 
     /** One customer on this host: what remains of its allowance for all hosts, and what this host granted itself. */
-    private class CustomerState(var allowance: Allowance, private var filledAtMillis: Long) {
+    private class CustomerState(
+        var allowance: Allowance,
+        private var filledAtMillis: Long,
+        private var initialTokens: Double = 0.0,
+    ) {
         private var remainingTokens = 0.0
         private var grantTokens = 0.0
         private var capacityTokens = 0.0
@@ -175,7 +236,8 @@
         fun refill(shares: Shares, nowMillis: Long) {
             val elapsedMillis = (nowMillis - filledAtMillis).coerceIn(0, MAX_FILL_MILLIS)
             filledAtMillis = nowMillis
-            val newTokens = allowance.ratePerSecond * elapsedMillis / MILLIS_PER_SECOND
+            val newTokens = initialTokens + allowance.ratePerSecond * elapsedMillis / MILLIS_PER_SECOND
+            initialTokens = 0.0
             isSole = shares.isSole
             val capacityFraction = if (isSole) 1.0 else CAPACITY_FRACTION
             capacityTokens = maxOf(MIN_TOKENS, allowance.burst * capacityFraction * shares.knownShare)
@@ -201,12 +263,24 @@
                 return false
             }
             admittedCount++
-            onAdmitted(1)
+            onAdmitted(1.0)
             return true
         }
 
-        fun onAdmitted(count: Long) {
-            remainingTokens = maxOf(-capacityTokens, remainingTokens - count)
+        fun onAdmitted(tokens: Double) {
+            remainingTokens = maxOf(-capacityTokens, remainingTokens - tokens)
+        }
+
+        /** Takes the tokens of [use] and returns how many. */
+        fun take(use: RecentUse.Use): Double {
+            val taken = use.takenOf(remainingTokens, allowance)
+            onAdmitted(taken)
+            if (use.isUpperBound) grantTokens = minOf(grantTokens, maxOf(0.0, remainingTokens))
+            return taken
+        }
+
+        fun giveBack(tokens: Double) {
+            remainingTokens = minOf(capacityTokens, remainingTokens + tokens)
         }
 
         fun waitMillis(hostCount: Int): Long {
