limits: what others gave out is kept in few entries, and not at all when it is nothing

RecentUse kept one entry for each report and customer, also for reports without admitted requests. Uses within 200 ms are one entry now, so at most 25 are kept for a customer, besides write-offs.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/DemandShareLimiter.kt
@@ -105,6 +105,7 @@
         for ((customer, use) in usages) {
             val before = admitted.countByCustomer.put(customer, use.admittedCount) ?: 0
             val count = (use.admittedCount - before).toDouble()
+            if (count <= 0) continue
             if (!isKnownHost) {
                 onUnknownUse(customer, use.demandPerSecond, count, nowMillis)
             } else if (earlier == null || previous != null) {
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/RecentUse.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/limits/RecentUse.kt
@@ -14,6 +14,7 @@
      * A number of tokens that was given out, known at [atMillis].
      *
      * @property isUpperBound true when it may have been less, so that no debt remains
+     * @property sinceMillis the time of the first of several uses
      * @property demandPerSecond if it is above zero and within the rate, the tokens don't count: what was given out then
      *   has been refilled
      */
@@ -22,7 +23,10 @@
         private val tokens: Double,
         val isUpperBound: Boolean = false,
         private val demandPerSecond: Double = 0.0,
+        val sinceMillis: Long = atMillis,
     ) {
+        fun mergedWith(later: Use) = Use(later.atMillis, tokens + later.tokens, sinceMillis = sinceMillis)
+
         /** How many of the [remainingTokens] are gone. */
         fun takenOf(remainingTokens: Double, allowance: Allowance): Double = when {
             !isUpperBound -> tokens
@@ -31,9 +35,12 @@
         }
     }
 
-    /** Adds [use], which is no older than those before. */
+    /** Adds [use], which is no older than those before. Known uses in quick succession become one. */
     fun add(use: Use) {
-        uses += use
+        val last = uses.lastOrNull()
+        val isMerged = last != null && !last.isUpperBound && !use.isUpperBound &&
+            use.atMillis - last.sinceMillis < SPACING_MILLIS
+        uses += if (isMerged) uses.removeLast().mergedWith(use) else use
         while (uses.first().atMillis < use.atMillis - WINDOW_MILLIS) uses.removeFirst()
     }
 
@@ -65,6 +72,9 @@
     private companion object {
         /** The longest window in which operators count requests. */
         const val WINDOW_MILLIS = 5_000L
+
+        /** Uses are kept this far apart, so that there are few of them. */
+        const val SPACING_MILLIS = 200L
         const val MILLIS_PER_SECOND = 1_000.0
     }
 }
