session: a hedged read that the queue has refused fails with its last attempt

What callers saw: a read that got no answer waited for its route's timeout although nothing served it any more.

Cause: StatementExecution.refuse did nothing while an attempt was under way, and the retry after that attempt added work that is over to the queue, which has no effect.

Change: the refusal is kept, and is the outcome once the last attempt is lost. The refusal of a read whose answer was lost keeps its code, so that a forwarded one is tried at another member; its text does not say that it has not run.

Evidence: CallerSessionTest, `a hedged read is refused at once when its connection is lost after the queue refused its second attempt`, failed first: there was no answer.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -44,9 +44,6 @@
     private var refusal: StatementError? = null
     private var isQueued = false
 
-    /** True once an answer to the statement was lost. */
-    private var mayHaveRun = false
-
     /** Queues [work]. Calls `done` once, at the latest after the route's timeout, unless [cancel] ends it before. */
     fun start(work: Work) {
         this.work = work
@@ -58,7 +55,7 @@
 
     /** Ends the execution without an outcome, as its caller has left, once no attempt is under way. */
     override fun cancel() {
-        refusal = StatementError(ErrorCode.BUSY, "the caller has left, not run")
+        refusal = StatementError(ErrorCode.BUSY, "the caller has left")
         if (attempts.isEmpty()) finish(null)
     }
 
@@ -70,18 +67,14 @@
 
     override fun refuse(work: Work, code: ErrorCode, reason: String) {
         isQueued = false
-        if (attempts.isEmpty()) finish(Outcome.error(code, reason))
+        val error = StatementError(code, reason)
+        refusal = error
+        if (attempts.isEmpty()) finish(Outcome.error(error.code, error.text))
     }
 
     override fun endUnsent(error: StatementError) {
         refusal = error
-        if (isQueued && attempts.isEmpty()) finish(unserved(error))
-    }
-
-    private fun unserved(error: StatementError): Outcome = if (mayHaveRun) {
-        Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the target's answer was lost")
-    } else {
-        Outcome.error(error.code, error.text)
+        if (isQueued && attempts.isEmpty()) finish(Outcome.error(error.code, error.text))
     }
 
     private fun finish(outcome: Outcome?) {
@@ -107,7 +100,7 @@
     private fun retry() {
         val work = work ?: return
         if (isFinished || attempts.isNotEmpty()) return
-        refusal?.let { return finish(unserved(it)) }
+        refusal?.let { return finish(Outcome.error(it.code, it.text)) }
         isQueued = true
         group.resubmit(work)
     }
@@ -216,7 +209,6 @@
             if (isComplete) return
             complete(StatementEnd.Lost)
             connection.close()
-            mayHaveRun = mayHaveRun || isSent
             if (isSent && statement.access == Access.WRITE) {
                 finish(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the target's answer was lost"))
             } else {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -454,6 +454,20 @@
         assertEquals(ErrorCode.BUSY, caller.refusal?.code)
     }
 
+    /** Guards against a read that nothing serves any more, whose caller learns so only at the route's timeout. */
+    @Test
+    fun `a hedged read is refused at once when its connection is lost after the queue refused its second attempt`() {
+        val session = fixture.open(caller)
+        primary.answersInMillis = 5_000
+        session.onStatement("r", read)
+        fixture.timers.advance(700)
+        assertTrue(caller.answers.isEmpty())
+
+        fixture.targets.links.filter { link -> link.sent.any { it is TargetStatement.Run } }.forEach { it.disconnect() }
+
+        assertNotNull(caller.answers.singleOrNull()?.error)
+    }
+
     /** Guards against a target that answers no rollback, which costs its host one of few connections for good. */
     @Test
     fun `a rollback without an answer ends its connection within the route's timeout`() {
