--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ControlRows.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ControlRows.kt
@@ -10,12 +10,14 @@
  * @property settled the epoch that the rows name as settled
  * @property records every group record
  * @property members every taken seat
+ * @property unusable the rows that can't be decoded, which are in neither
  */
 public class ControlRows(
     public val epoch: Long,
     public val settled: SettledEpoch,
     public val records: List<GroupRecord>,
     public val members: List<MemberRow>,
+    public val unusable: UnusableRows = UnusableRows.NONE,
 ) {
     /** False when the rows may be older than what hosts know, since the store was restored; see [EpochSettlement]. */
     public val isSettled: Boolean get() = epoch <= settled.epoch
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
@@ -4,6 +4,7 @@
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.GroupRecord
 import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.log.guarded
 import kotlinx.collections.immutable.toImmutableList
 
 /**
@@ -107,7 +108,7 @@
     private fun write(change: ControlChange) {
         isBusy = true
         table.write(change).doFinally { isBusy = false }.subscribe(
-            { outcome ->
+            log.guarded("fleet") { outcome ->
                 log.event("fleet", "rows_put_back", "outcome", outcome)
                 fleet.refresh()
             },
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -304,7 +304,7 @@
         val members = otherMembers(newer)
         updatePeers(members)
         if (!isRegistered) directory.onRows(members)
-        seatKeeper.onRows(rows, directory.isStranded(timers.nowMillis()))
+        seatKeeper.onRows(rows, directory.isStranded(timers.nowMillis()), newer.unusable.seats)
     }
 
     private fun otherMembers(rows: ControlRows): List<Member> =
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupRecords.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupRecords.kt
@@ -63,6 +63,9 @@
     /** Like [learn] with the records of [rows], which were read from the store. */
     public fun learnRows(rows: ControlRows, newestAtMillis: Long) {
         readEpoch = maxOf(readEpoch, rows.epoch)
+        for ((group, version) in rows.unusable.groups) {
+            rowPositions.merge(group, StorePosition(rows.epoch, version), ::maxOf)
+        }
         learn(rows.records, newestAtMillis)
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheck.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheck.kt
@@ -17,13 +17,15 @@
     private val TIMES_MILLIS = -MAX_NUMBER..MAX_NUMBER
 
     /** True when a host can have sent [message], apart from a heartbeat that is still compressed. */
-    fun isValid(message: PeerMessage): Boolean =
-        message.from.isNotBlank() && message.heartbeat?.let(::isValid) != false
+    fun isValid(message: PeerMessage): Boolean = message.from.isNotBlank() && message.heartbeat?.let(::isValid) != false
 
     /** True when a host can have sent [heartbeat]. */
     fun isValid(heartbeat: Heartbeat): Boolean {
         val times = listOf(
-            heartbeat.sentAtMillis, heartbeat.answeredSentAtMillis, heartbeat.answeredHeldMillis, heartbeat.proofAgeMillis,
+            heartbeat.sentAtMillis,
+            heartbeat.answeredSentAtMillis,
+            heartbeat.answeredHeldMillis,
+            heartbeat.proofAgeMillis,
         )
         return times.all { it in TIMES_MILLIS } && heartbeat.configurationVersion in -1..MAX_NUMBER &&
             heartbeat.groups.all(::isValid) && heartbeat.demand.all(::isValid)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PromotionSender.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PromotionSender.kt
@@ -5,6 +5,7 @@
 import dev.cardamomlane.engine.group.GroupRecord
 import dev.cardamomlane.engine.group.PromotionOrder
 import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.log.guarded
 
 /**
  * Stores the orders of one group's promotions in its record, and sends each once it is stored.
@@ -62,7 +63,7 @@
         now.notBeforeMillis = nowMillis + RETRY_MILLIS
         isWriting = true
         table.writeRecord(record, expected.version).doFinally { isWriting = false }.subscribe(
-            { onStored(now, it, record, sentAtMillis = nowMillis) },
+            log.guarded("takeover") { onStored(now, it, record, sentAtMillis = nowMillis) },
             { failure -> log.event("takeover", "order_not_stored", "reason", failure.message) },
         )
     }
@@ -88,7 +89,7 @@
         orders.observe(record, nowMillis)
         onSent(record)
         promotion.promote(group.id, order.target, record.holder, order.fence).subscribe(
-            { outcome -> onAnswer(order, outcome) },
+            log.guarded("takeover") { outcome -> onAnswer(order, outcome) },
             { failure -> log.event("takeover", "promote_unanswered", "reason", failure.message) },
         )
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/SeatKeeper.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/SeatKeeper.kt
@@ -23,10 +23,10 @@
     /**
      * Takes a seat if one is due, given [rows] that were just read.
      *
-     * @param isStranded see [SeatPolicy.claim]
+     * @param isStranded see [SeatPolicy.claim], as for [unusableSeats]
      */
-    fun onRows(rows: Collection<MemberRow>, isStranded: Boolean) {
-        takeSeat(rows, isStranded)
+    fun onRows(rows: Collection<MemberRow>, isStranded: Boolean, unusableSeats: Map<Int, Long> = emptyMap()) {
+        takeSeat(rows, isStranded, unusableSeats)
         for (row in policy.surplus(rows)) {
             log.event("fleet", "surplus_seat_vacated", "seat", row.seat)
             table.writeSeat(SeatChange(row.seat, member = null, row.version)).subscribe({}, { failure ->
@@ -35,10 +35,10 @@
         }
     }
 
-    private fun takeSeat(rows: Collection<MemberRow>, isStranded: Boolean) {
+    private fun takeSeat(rows: Collection<MemberRow>, isStranded: Boolean, unusableSeats: Map<Int, Long>) {
         if (isRegistering) return
         val nowMillis = timers.nowMillis()
-        val claim = policy.claim(rows, isStranded, nowMillis) ?: return readAgainWhenDue(nowMillis)
+        val claim = policy.claim(rows, isStranded, nowMillis, unusableSeats) ?: return readAgainWhenDue(nowMillis)
         isRegistering = true
         table.writeSeat(SeatChange(claim.seat, self, claim.expectedVersion)).doFinally { isRegistering = false }
             .subscribe(
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/SeatPolicy.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/SeatPolicy.kt
@@ -28,8 +28,14 @@
      *
      * @param isStranded true when this host has reached no majority of the members for so long that they are taken to
      *   be lost; then seats of members may be taken
+     * @param unusableSeats the versions of the rows of vacant seats that hold something else than a member
      */
-    fun claim(rows: Collection<MemberRow>, isStranded: Boolean, nowMillis: Long): SeatClaim? {
+    fun claim(
+        rows: Collection<MemberRow>,
+        isStranded: Boolean,
+        nowMillis: Long,
+        unusableSeats: Map<Int, Long> = emptyMap(),
+    ): SeatClaim? {
         val own = rows.filter { it.member.name == self.name }.minByOrNull { it.seat }
         if (own != null) {
             vacantSinceMillis = null
@@ -52,7 +58,8 @@
                 vacant
             }
         }
-        return SeatClaim(choice.random(random), expectedVersion = 0)
+        val seat = choice.random(random)
+        return SeatClaim(seat, expectedVersion = unusableSeats[seat] ?: 0)
     }
 
     /** The rows beyond the first that name this host, left by a write whose answer was lost. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -5,6 +5,7 @@
 import dev.cardamomlane.engine.group.GroupRecord
 import dev.cardamomlane.engine.group.PromotionOrder
 import dev.cardamomlane.engine.log.DecisionLog
+import dev.cardamomlane.engine.log.guarded
 import dev.cardamomlane.engine.target.StatusQuery
 import dev.cardamomlane.engine.target.Target
 import dev.cardamomlane.engine.target.TargetStatus
@@ -135,7 +136,7 @@
         )
         phase = TakeoverPhase.Claiming
         table.writeRecord(record, expected.version).subscribe(
-            { onClaim(it, record) },
+            log.guarded("takeover") { onClaim(it, record) },
             { failure -> abandonClaim("claim failed: ${failure.message}") },
         )
     }
@@ -279,7 +280,7 @@
             order = now.record.order.takeIf { orders.target(nowMillis) != null },
         )
         table.writeRecord(record, expected.version).doFinally { isCallUnderWay = false }.subscribe(
-            { onPublished(now, record, it) },
+            log.guarded("takeover") { onPublished(now, record, it) },
             { failure -> log.event("takeover", "publish_failed", "reason", failure.message) },
         )
         now.notBeforeMillis = nowMillis + PUBLISH_RETRY_MILLIS
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
@@ -57,7 +57,7 @@
         private const val FENCES_PER_EPOCH = 1_000_000L
 
         /** The highest fence that a record can have whose row was seen in [epoch] of the store, see [nextFence]. */
-        internal fun highestFence(epoch: Long): Long = maxOf(StorePosition.FIRST_EPOCH, epoch) * FENCES_PER_EPOCH
+        public fun highestFence(epoch: Long): Long = maxOf(StorePosition.FIRST_EPOCH, epoch) * FENCES_PER_EPOCH
 
         /**
          * The fence of a claim that follows [known], the newest known record if any, in [epoch] of the store. It
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/ClockFaultsTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/ClockFaultsTest.kt
@@ -52,7 +52,11 @@
                 val reads = StaleReads(reading, stepped)
 
                 assertEquals(0, reads.count(), "$reading, host $stepped")
-                assertEquals(reading == ClockReading.MONOTONIC_AND_JUMPS, reads.hadFutureHeartbeats, "$reading, host $stepped")
+                assertEquals(
+                    reading == ClockReading.MONOTONIC_AND_JUMPS,
+                    reads.hadFutureHeartbeats,
+                    "$reading, host $stepped",
+                )
             }
         }
     }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheckTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheckTest.kt
@@ -81,12 +81,18 @@
             status.copy(positionOffset = -1), status.copy(primaryHeardMillis = Long.MIN_VALUE),
         )
         val demands = listOf(
-            CustomerDemand("", 1f, 1), CustomerDemand("c", Float.NaN, 1), CustomerDemand("c", Float.POSITIVE_INFINITY, 1),
-            CustomerDemand("c", -1f, 1), CustomerDemand("c", 1f, Long.MAX_VALUE), CustomerDemand("c", 1f, -1),
+            CustomerDemand("", 1f, 1),
+            CustomerDemand("c", Float.NaN, 1),
+            CustomerDemand("c", Float.POSITIVE_INFINITY, 1),
+            CustomerDemand("c", -1f, 1),
+            CustomerDemand("c", 1f, Long.MAX_VALUE),
+            CustomerDemand("c", 1f, -1),
         )
         val heartbeats = listOf(
-            heartbeat.copy(sentAtMillis = Long.MAX_VALUE), heartbeat.copy(answeredHeldMillis = Long.MAX_VALUE),
-            heartbeat.copy(proofAgeMillis = Long.MIN_VALUE), heartbeat.copy(configurationVersion = Long.MAX_VALUE),
+            heartbeat.copy(sentAtMillis = Long.MAX_VALUE),
+            heartbeat.copy(answeredHeldMillis = Long.MAX_VALUE),
+            heartbeat.copy(proofAgeMillis = Long.MIN_VALUE),
+            heartbeat.copy(configurationVersion = Long.MAX_VALUE),
         ) + statuses.map { heartbeat.copy(groups = listOf(it)) } + demands.map { heartbeat.copy(demand = listOf(it)) }
         for (odd in heartbeats) assertNull(decoded(odd), "$odd")
     }
@@ -154,7 +160,10 @@
     @Test
     fun `no mutated message makes the codec throw`() {
         val message = PeerMessage(
-            "b", 7, heartbeat, capacities = listOf(CapacityReport("t", 1, 2, 3, 4, 5, 6)),
+            "b",
+            7,
+            heartbeat,
+            capacities = listOf(CapacityReport("t", 1, 2, 3, 4, 5, 6)),
             drains = ZoneDrains(StorePosition(1, 2), listOf("z")),
         )
         val random = Random(SEED)
