engine tests: a scheduled caller runs one operation at a time

Trace: the statements were refused at once (queue is too long) while the caller was still sending its batch, so that each answer scheduled another next operation, and a single write of one was sent inside the transaction of another; the caller then took the end of that transaction for the success of its write. The engine's answers were right. The caller now schedules one next operation and starts it only when nothing waits for an answer; its checks are unchanged.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/ScheduledCaller.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/ScheduledCaller.kt
@@ -24,6 +24,7 @@
     private val session: CallerSession = fixture.hosts[host].openSession(this, database, key)
     private val awaiting = ArrayDeque<SentStatement>()
     private var isOver = false
+    private var isNextDue = false
     val operations = ArrayList<ScheduledOperation>()
     val statements = ArrayList<SentStatement>()
 
@@ -56,7 +57,17 @@
         isOver = true
     }
 
-    private fun nextOperation() = later {
+    /** Starts the next operation after a pause. An answer that comes while a statement is sent must not start two. */
+    private fun nextOperation() {
+        if (isNextDue) return
+        isNextDue = true
+        later {
+            isNextDue = false
+            if (awaiting.isEmpty()) startNext()
+        }
+    }
+
+    private fun startNext() {
         if (random.nextInt(3) > 0) {
             start(transaction("$name-${operations.size}"))
         } else {
