standin: reads beside stepping clocks, checked against the acknowledged commits

The case STEPPING_CLOCKS runs six hosts of the deploy file: replicas fall behind or receive nothing, primaries crash, and the time of day of two hosts at a time steps by 2.4 s in both directions. Each run of a read is checked against the commits that were acknowledged before it was sent, by the limits of its route (current, bounded, session); what a promotion rolled back is excused. A run in which nothing was served, or no host met a step, has not run.

The stand-ins of targets took commits back when they fell behind, and counted a lagging replica of a new term as holding the terms before; both would have made reads look too old. They do neither any more.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
@@ -19,15 +19,17 @@
  * [close] ends the hosts and the stand-ins, but not [record].
  *
  * @param directory for the settings and logs of the hosts
+ * @param hostVariables further variables of the hosts' environment, see [HostProcess]
  */
 internal class LaneInstallation(
     site: SitePlan,
     hostCount: Int,
-    directory: Path,
+    val directory: Path,
     val record: RunRecord,
     customerCount: Int = 8,
     ratePerSecond: Int = 83,
     deployFile: Path = Path.of("deploy/system.toml"),
+    hostVariables: Map<String, String> = emptyMap(),
 ) : AutoCloseable {
     private val network = LoopbackNetwork.pick()
     private val ids = StatementIds()
@@ -43,7 +45,7 @@
             site = site,
             hosts = plans,
         )
-        fleet = HostFleet(plans, settings, DeployCommand.read(deployFile), directory, record)
+        fleet = HostFleet(plans, settings, DeployCommand.read(deployFile), directory, record, hostVariables)
     }
 
     val hosts: List<HostProcess> get() = fleet.hosts
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseCommand.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseCommand.kt
@@ -34,6 +34,16 @@
     @Option(names = ["--without-trouble"], description = ["leaves the disruption out"])
     private var isWithoutTrouble = false
 
+    @Option(names = ["--seed"], paramLabel = "N", description = ["of a case that makes choices"], defaultValue = "1")
+    private var seed: Long = 0
+
+    @Option(
+        names = ["--host-variable"],
+        paramLabel = "NAME=VALUE",
+        description = ["adds a variable to the hosts' environment; {host} and {dir} stand for their names and folder"],
+    )
+    private var hostVariables: Map<String, String> = emptyMap()
+
     @Option(names = ["--logs"], paramLabel = "DIR", description = ["keeps settings and logs of the hosts in DIR"])
     private var logs: Path? = null
 
@@ -46,9 +56,15 @@
     }
 
     private fun run(record: RunRecord): Verdict {
-        val case = name.create()
+        val case = name.create(seed)
         val directory = logs?.let(Files::createDirectories) ?: Files.createTempDirectory("cardamomlane-case")
-        val installation = LaneInstallation(case.site, case.site.hostZones.size, directory, record)
+        val installation = LaneInstallation(
+            case.site,
+            case.site.hostZones.size,
+            directory.toAbsolutePath(),
+            record,
+            hostVariables = hostVariables,
+        )
         val stopper = Thread { end(installation, directory) }
         Runtime.getRuntime().addShutdownHook(stopper)
         return await { play(case, installation) }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/host/HostFleet.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/host/HostFleet.kt
@@ -11,8 +11,10 @@
     command: List<String>,
     directory: Path,
     private val record: RunRecord,
+    variables: Map<String, String> = emptyMap(),
 ) : AutoCloseable {
-    val hosts: List<HostProcess> = plans.map { HostProcess(it, settings, command, directory, record) }
+    val hosts: List<HostProcess> =
+        plans.map { HostProcess(it, settings, command, directory, record, variables) }
 
     /** Returns the host called [name]. Throws [IllegalArgumentException] if there is none. */
     fun find(name: String): HostProcess =
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/host/HostProcess.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/host/HostProcess.kt
@@ -14,6 +14,8 @@
  * The process of one host, which can be ended and started again. Settings and log stand in [directory].
  *
  * @param command the program and its arguments
+ * @param variables further variables of its environment; in their values `{host}` stands for its name and `{dir}` for
+ *   [directory]
  */
 internal class HostProcess(
     val plan: HostPlan,
@@ -21,6 +23,7 @@
     private val command: List<String>,
     private val directory: Path,
     private val record: RunRecord,
+    private val variables: Map<String, String> = emptyMap(),
 ) {
     @Volatile
     private var process: Process? = null
@@ -39,10 +42,13 @@
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
         builder.environment().keys.retainAll(INHERITED_VARIABLES)
         builder.environment()["CARDAMOMLANE_CONFIG"] = file.toString()
+        variables.forEach { (name, value) -> builder.environment()[name] = resolve(value) }
         process = builder.start()
         record.line("host ${plan.name} starts")
     }
 
+    private fun resolve(value: String) = value.replace("{host}", plan.name).replace("{dir}", directory.toString())
+
     /**
      * Sends SIGTERM, and SIGKILL after [graceMillis] if the process still runs. The result completes with the exit code
      * when it has ended.
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/operator/OperatorConfig.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/operator/OperatorConfig.kt
@@ -76,9 +76,13 @@
 
         /** The database of the route whose reads may be [BOUNDED_MILLIS] old. */
         const val BOUNDED_DATABASE = "catalogue"
-        private const val BOUNDED_MILLIS = 1_500L
+        const val BOUNDED_MILLIS = 1_500L
 
-        /** Returns the first configuration: both routes to [group], and customers with two keys each. */
+        /** The database of the route whose reads see their session's commits and may be [SESSION_MILLIS] old. */
+        const val SESSION_DATABASE = "drafts"
+        const val SESSION_MILLIS = 2_500L
+
+        /** Returns the first configuration: all routes to [group], and customers with two keys each. */
         fun first(group: Group, customerCount: Int, ratePerSecond: Int): OperatorConfig = OperatorConfig(
             revision = FIRST_REVISION,
             routes = listOf(
@@ -93,6 +97,15 @@
                     priority = 2,
                     maxStaleMillis = BOUNDED_MILLIS,
                 ),
+                Route(
+                    "r-drafts",
+                    SESSION_DATABASE,
+                    PlatformWords.SESSION,
+                    group.name,
+                    timeoutMillis = 2_000,
+                    goalMillis = 400,
+                    maxStaleMillis = SESSION_MILLIS,
+                ),
             ),
             groups = listOf(group),
             customers = List(customerCount) { Customer("club$it", listOf("key-a-$it", "key-b-$it"), ratePerSecond) },
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.standin.lane.record
 
+import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.standin.lane.target.Commit
 import dev.cardamomlane.standin.lane.target.GroupListener
 import java.util.concurrent.ConcurrentHashMap
@@ -12,6 +13,8 @@
     private val late = ConcurrentHashMap.newKeySet<String>()
     private val rolledBack = ConcurrentHashMap.newKeySet<String>()
     private val commitCounts = ConcurrentHashMap<String, Int>()
+    private val positions = ConcurrentHashMap<String, LogPosition>()
+    private val readsById = ConcurrentHashMap<String, List<ReadRun>>()
 
     /** The statements whose commit was made at a target after another one had been promoted. */
     val lateCommits: Set<String> get() = late.toSet()
@@ -22,6 +25,12 @@
     /** The statements that were committed more than once. */
     val repeatedCommits: Set<String> get() = commitCounts.filterValues { it > 1 }.keys
 
+    /** Returns where the statement [statementId] was committed, or null if it was not. */
+    fun positionOf(statementId: String): LogPosition? = positions[statementId]
+
+    /** Returns the runs of the read [statementId], several if it was sent to several targets. */
+    fun runsOf(statementId: String): List<ReadRun> = readsById[statementId].orEmpty()
+
     /** Whether a target has received the statement [statementId]. */
     fun hasBegun(statementId: String): Boolean = statementId in begun
 
@@ -29,7 +38,13 @@
         begun += statementId
     }
 
+    override fun onRead(target: String, statementId: String, last: Commit?) {
+        val run = ReadRun(target, last?.position)
+        readsById.merge(statementId, listOf(run)) { earlier, latest -> earlier + latest }
+    }
+
     override fun onCommitted(target: String, commit: Commit, isLate: Boolean) {
+        positions[commit.statementId] = commit.position
         commitCounts.merge(commit.statementId, 1, Int::plus)
         if (isLate) late += commit.statementId
         val note = if (isLate) ", although another target has been promoted" else ""
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/Commit.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/Commit.kt
@@ -1,5 +1,7 @@
 package dev.cardamomlane.standin.lane.target
 
+import dev.cardamomlane.core.LogPosition
+
 /**
  * One commit of a log.
  *
@@ -13,4 +15,6 @@
     val statementId: String,
     val values: Map<String, String>,
     val committedAtMillis: Long,
-)
+) {
+    val position: LogPosition get() = LogPosition(term, number.toLong())
+}
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/GroupListener.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/GroupListener.kt
@@ -5,6 +5,9 @@
     /** A target has received the statement [statementId] of a caller. */
     fun onBegun(target: String, statementId: String)
 
+    /** The read [statementId] runs at a target that has applied all commits up to [last], or none if that is null. */
+    fun onRead(target: String, statementId: String, last: Commit?)
+
     /** [isLate] is true when another target had been promoted before. */
     fun onCommitted(target: String, commit: Commit, isLate: Boolean)
 
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/LaneTarget.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/LaneTarget.kt
@@ -49,8 +49,22 @@
     /** How long a read, write or commit occupies a slot. */
     var statementMillis = settings.statementMillis
 
+    /** The most commits that were applied; a replica that falls further behind takes none of them back. */
+    private var mostApplied = 0
+
     /** From a commit to the moment when this target, as a replica, has applied it. */
     var lagMillis = settings.lagMillis
+        set(value) {
+            mostApplied = appliedCount
+            field = value
+        }
+
+    /** False while this target, as a replica, receives nothing. */
+    var isReceiving = true
+        set(value) {
+            field = value
+            if (value) group.primary()?.takeIf(::follows)?.let(::receive)
+        }
 
     val isNewestPrimary: Boolean get() = isPrimary && term == group.newestTerm
     val connectionCount: Int get() = sessions.size
@@ -59,10 +73,26 @@
     val isRollingBack: Boolean get() = timers.nowMillis() < busyUntilMillis
 
     /** How many commits of the log can be read. */
-    val appliedCount: Int get() = if (isPrimary) log.size else log.countUntil(timers.nowMillis() - lagMillis)
+    val appliedCount: Int
+        get() {
+            val count = if (isPrimary) log.size else log.countUntil(timers.nowMillis() - lagMillis)
+            mostApplied = maxOf(count, mostApplied)
+            return mostApplied
+        }
+
+    /** The newest commit that can be read, or null when there is none. */
+    val lastApplied: Commit? get() = log.commitAt(appliedCount)
 
-    /** The position up to which the log can be read. */
-    val appliedPosition: LogPosition get() = LogPosition(term, appliedCount.toLong())
+    /**
+     * The position up to which the log can be read. It is of the target's own term once all commits of earlier terms are
+     * applied.
+     */
+    val appliedPosition: LogPosition
+        get() {
+            val count = appliedCount
+            val isOfOwnTerm = count >= group.firstCountOf(term)
+            return LogPosition(if (isOfOwnTerm) term else log.commitAt(count)?.term ?: FIRST_TERM, count.toLong())
+        }
 
     /** The position up to which the log has been received. */
     val receivedPosition: LogPosition get() = LogPosition(term, log.size.toLong())
@@ -131,11 +161,12 @@
     }
 
     /** Whether this is a running replica that receives the log of [primary]. */
-    fun follows(primary: LaneTarget): Boolean = isRunning && !isPrimary && term == primary.term && heldTerm <= term
+    fun follows(primary: LaneTarget): Boolean =
+        isRunning && isReceiving && !isPrimary && term == primary.term && heldTerm <= term
 
     /** Receives the log of [primary] as it stands now. */
     fun receive(primary: LaneTarget) {
-        log.copyFrom(primary.log)
+        copyLogOf(primary)
     }
 
     /** Leads [term] with the log that it has. */
@@ -150,11 +181,18 @@
     fun follow(primary: LaneTarget) {
         term = primary.term
         heldTerm = 0
-        val lost = log.copyFrom(primary.log)
+        val lost = copyLogOf(primary)
         lost.forEach { group.listener.onRolledBack(name, it) }
         if (lost.isNotEmpty()) busyUntilMillis = timers.nowMillis() + settings.rollbackMillis
     }
 
+    /** Returns the commits that were rolled back. */
+    private fun copyLogOf(primary: LaneTarget): List<Commit> {
+        val lost = log.copyFrom(primary.log)
+        lost.firstOrNull()?.let { mostApplied = minOf(mostApplied, it.number - 1) }
+        return lost
+    }
+
     /** Becomes a replica, of [primary] if there is one. */
     fun stepDown(primary: LaneTarget?) {
         isPrimary = false
@@ -205,6 +243,8 @@
     }
 
     private companion object {
+        const val FIRST_TERM = 1L
+
         /** An entry is removed after this many heartbeats have been missed. */
         const val ENTRY_HEARTBEATS = 3
     }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetGroup.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetGroup.kt
@@ -18,6 +18,8 @@
     private val members = ArrayList<LaneTarget>()
     val targets: List<LaneTarget> get() = members
 
+    private val firstCounts = HashMap<Long, Int>()
+
     /** The term of the newest promotion. */
     var newestTerm = 1L
         private set
@@ -25,6 +27,9 @@
     /** How much longer the next use of a slot takes. */
     fun nextExtraMillis(): Long = random.nextLong(settings.maxExtraMillis + 1)
 
+    /** Returns how many commits the log held when [term] began. */
+    fun firstCountOf(term: Long): Int = firstCounts[term] ?: 0
+
     /** Adds a target that does not run yet. */
     fun add(name: String, availabilityZone: String): LaneTarget {
         require(find(name) == null) { "target \"$name\" exists already" }
@@ -47,6 +52,7 @@
     private fun takeOver(target: LaneTarget) {
         if (!target.isRunning || target.isNewestPrimary) return
         newestTerm++
+        firstCounts[newestTerm] = target.log.size
         target.lead(newestTerm)
         listener.onPromoted(target.name, newestTerm)
         members.filter { it !== target && it.isRunning }.forEach { other ->
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetLog.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetLog.kt
@@ -11,6 +11,9 @@
         entries += commit
     }
 
+    /** Returns the commit [number], counted from 1, or null if the log has none. */
+    fun commitAt(number: Int): Commit? = entries.getOrNull(number - 1)
+
     /** Returns how many commits were made at or before [atMillis]. */
     fun countUntil(atMillis: Long): Int {
         var count = size
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
@@ -87,7 +87,7 @@
                 transaction = null
                 done()
             }
-            is LineStatement.Read -> read(statement.item)
+            is LineStatement.Read -> read(statementId, statement.item)
             is LineStatement.Write -> write(statementId, statement.item, statement.data)
             is LineStatement.Execute -> execute(statementId, statement)
             is LineStatement.Prepare -> done { isWriteByName[statement.name] = statement.isWrite }
@@ -117,11 +117,12 @@
         when (isWriteByName[statement.name]) {
             null -> fail(PlatformWords.UNKNOWN_STATEMENT)
             true -> write(statementId, statement.item, statement.data.orEmpty())
-            false -> read(statement.item)
+            false -> read(statementId, statement.item)
         }
     }
 
-    private fun read(item: String) = runInSlot {
+    private fun read(statementId: String, item: String) = runInSlot {
+        target.group.listener.onRead(target.name, statementId, target.lastApplied)
         val data = transaction?.values?.get(item) ?: target.log.value(item, target.appliedCount)
         answerRun("ROW ${data ?: "-"}\r\n")
     }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/wire/PlatformWords.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/wire/PlatformWords.kt
@@ -43,6 +43,7 @@
     const val PRIMARY = "primary"
     const val REPLICA = "replica"
     const val BOUNDED = "bounded"
+    const val SESSION = "session"
 
     const val ROUTES = "routes"
     const val GROUPS = "services"
--- a/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/target/TargetGroupTest.kt
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/target/TargetGroupTest.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.standin.lane.target
 
+import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.standin.lane.store.StoreOutage
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 import kotlinx.serialization.json.Json
@@ -205,4 +206,34 @@
         fixture.timers.advance(1_200)
         assertEquals("primary", entry("b")?.get(PlatformWords.ROLE))
     }
+
+    /** Guards against a stand-in that takes commits back, which no replica does, so that reads look too old. */
+    @Test
+    fun `a replica that falls behind keeps what it has applied`() {
+        commit("w1")
+        fixture.timers.advance(100)
+        fixture.b.lagMillis = 5_000
+        commit("w2")
+        assertEquals(1, fixture.b.appliedCount)
+    }
+
+    @Test
+    fun `a replica that receives nothing gets all when it receives again`() {
+        fixture.b.isReceiving = false
+        commit("w")
+        assertEquals(0, fixture.b.log.size)
+        fixture.b.isReceiving = true
+        assertEquals(1, fixture.b.log.size)
+    }
+
+    /** Guards against a stand-in that lets a lagging replica of a new term pass for one that holds the term before. */
+    @Test
+    fun `a replica is at a position of the new term once it has applied all of the terms before`() {
+        fixture.c.lagMillis = 5_000
+        commit("w")
+        promote(fixture.b)
+        assertEquals(LogPosition(1, 0), fixture.c.appliedPosition)
+        fixture.timers.advance(5_000)
+        assertEquals(LogPosition(2, 1), fixture.c.appliedPosition)
+    }
 }
