standin: the soak checks reads, answers and rates, and disturbs more

With odd seeds commits wait for a replica.

New checks: STALE (each run of a read against the acknowledged commits), MIXED (a success has a digest that a target gave for that statement), QUOTA (operations sent and run within 5 s), LOST where commits wait for a replica. Each is seen to fail on a bad history in SoakChecksTest. The verdict counts statements, commits and reads.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
@@ -19,10 +19,11 @@
  * [close] ends the hosts and the stand-ins, but not [record].
  *
  * @param directory for the settings and logs of the hosts
+ * @param syncReplicaCount how many replicas must have a commit before it is acknowledged
  * @param hostVariables further variables of the hosts' environment, see [HostProcess]
  */
 internal class LaneInstallation(
-    site: SitePlan,
+    val site: SitePlan,
     hostCount: Int,
     val directory: Path,
     val record: RunRecord,
@@ -30,10 +31,11 @@
     ratePerSecond: Int = 83,
     deployFile: Path = Path.of("deploy/system.toml"),
     hostVariables: Map<String, String> = emptyMap(),
+    syncReplicaCount: Int = 0,
 ) : AutoCloseable {
     private val network = LoopbackNetwork.pick()
     private val ids = StatementIds()
-    val platform = LanePlatform(site, network, customerCount, ratePerSecond, record)
+    val platform = LanePlatform(site, network, customerCount, ratePerSecond, record, syncReplicaCount)
     val fleet: HostFleet
     val admin = LaneAdminServer(network.nextSocketAddress(), installation = this)
 
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LanePlatform.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LanePlatform.kt
@@ -35,6 +35,7 @@
     customerCount: Int,
     ratePerSecond: Int,
     private val record: RunRecord,
+    syncReplicaCount: Int = 0,
 ) : AutoCloseable {
     private val loops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
@@ -53,6 +54,7 @@
             promoteMillis = site.promoteMillis,
             lagMillis = site.lagMillis,
             maxExtraMillis = MAX_EXTRA_MILLIS,
+            syncReplicaCount = syncReplicaCount,
         ),
         timers,
         StoreRegistry(store, storeFaults),
@@ -61,7 +63,7 @@
     val operator = Operator(
         store,
         OperatorConfig.first(
-            OperatorConfig.Group(GROUP_NAME, site.maxConnections),
+            OperatorConfig.Group(GROUP_NAME, site.maxConnections, syncReplicaCount),
             customerCount = customerCount,
             ratePerSecond = ratePerSecond,
         ),
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/SteppingClocks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/SteppingClocks.kt
@@ -1,9 +1,10 @@
 package dev.cardamomlane.standin.lane.cases
 
 import dev.cardamomlane.standin.lane.LaneInstallation
+import dev.cardamomlane.standin.lane.caller.CallerRoute
 import dev.cardamomlane.standin.lane.caller.CallerSession
+import dev.cardamomlane.standin.lane.host.ClockOffsets
 import dev.cardamomlane.standin.lane.host.SitePlan
-import dev.cardamomlane.standin.lane.operator.OperatorConfig
 import dev.cardamomlane.standin.lane.record.CallerCommit
 import dev.cardamomlane.standin.lane.record.CallerRead
 import dev.cardamomlane.standin.lane.record.StaleReads
@@ -29,9 +30,9 @@
         val offsets = ClockOffsets(installation.directory, installation.hosts.map { it.plan.name })
         val startMillis = installation.record.nowMillis
         BackgroundTasks().use { tasks ->
-            val callers = ROUTES.flatMapIndexed { number, route ->
-                List(installation.hosts.size * route.callersPerHost) { caller ->
-                    val random = Random(seed * SEED_STEP + number * CALLER_STEP + caller)
+            val callers = CallerRoute.entries.flatMap { route ->
+                List(installation.hosts.size * CALLERS_PER_HOST.getValue(route)) { caller ->
+                    val random = Random(seed * SEED_STEP + route.ordinal * CALLER_STEP + caller)
                     tasks.start { serve(installation, route, caller, random) }
                 }
             }
@@ -56,7 +57,7 @@
         val history = installation.platform.history
         val stale = StaleReads(commits, history).find(reads)
         stale.forEach { installation.record.line("too old: $it") }
-        val runCount = reads.count { history.runsOf(it.statementId).isNotEmpty() }
+        val runCount = reads.count { history.readsOf(it.statementId).isNotEmpty() }
         if (runCount == 0 || commits.isEmpty()) return Verdict.NotRun("nothing was served")
         return Verdict.of(
             stale.isNotEmpty(),
@@ -90,7 +91,7 @@
         while (session.isOpen && !isOver.get()) {
             val sentMillis = installation.record.nowMillis
             val isLeft = when {
-                random.nextDouble() < route.writeShare -> write(session, name, installation, random)
+                random.nextDouble() < WRITE_SHARE.getValue(route) -> write(session, name, installation, random)
                 random.nextInt(TRANSACTION_SHARE) == 0 -> transact(session, route, name, sentMillis, random)
                 else -> read(session, route, name, sentMillis, random)
             }
@@ -113,7 +114,7 @@
         random: Random,
     ): Boolean {
         val answer = session.run("READ ${random.nextInt(ITEMS)}a")
-        reads += CallerRead(answer.statementId, name, sentMillis, route.maxStaleMillis, route.seesOwnCommits)
+        reads += route.read(answer.statementId, name, sentMillis)
         return answer.isInTransaction
     }
 
@@ -179,32 +180,10 @@
         }
     }
 
-    /** What callers of one database do, and what its route promises them. */
-    private class CallerRoute(
-        val database: String,
-        val maxStaleMillis: Long,
-        val writeShare: Double,
-        val callersPerHost: Int,
-        val seesOwnCommits: Boolean = false,
-    )
-
     private companion object {
-        val ROUTES = listOf(
-            CallerRoute(OperatorConfig.CURRENT_DATABASE, maxStaleMillis = 0, writeShare = 0.8, callersPerHost = 1),
-            CallerRoute(
-                OperatorConfig.BOUNDED_DATABASE,
-                OperatorConfig.BOUNDED_MILLIS,
-                writeShare = 0.0,
-                callersPerHost = 3,
-            ),
-            CallerRoute(
-                OperatorConfig.SESSION_DATABASE,
-                OperatorConfig.SESSION_MILLIS,
-                writeShare = 0.2,
-                callersPerHost = 1,
-                seesOwnCommits = true,
-            ),
-        )
+        /** How many callers each host has on a route, and how many of their operations are writes. */
+        val CALLERS_PER_HOST = mapOf(CallerRoute.CURRENT to 1, CallerRoute.BOUNDED to 3, CallerRoute.SESSION to 1)
+        val WRITE_SHARE = mapOf(CallerRoute.CURRENT to 0.8, CallerRoute.BOUNDED to 0.0, CallerRoute.SESSION to 0.2)
         const val LENGTH_MILLIS = 75_000L
         const val SEED_STEP = 10_000L
         const val CALLER_STEP = 1_000L
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/host/HostProcess.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/host/HostProcess.kt
@@ -66,6 +66,17 @@
         }
     }
 
+    /** Stops the process until [resume], as a machine that is frozen. */
+    fun pause() = signal("STOP")
+
+    fun resume() = signal("CONT")
+
+    private fun signal(name: String) {
+        record.line("host ${plan.name} gets SIG$name")
+        val pid = process?.pid() ?: return
+        ProcessBuilder("kill", "-$name", "$pid").start().waitFor()
+    }
+
     /** Sends SIGKILL. Does not wait for its end. */
     fun kill() {
         record.line("host ${plan.name} gets SIGKILL")
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
@@ -14,6 +14,7 @@
     private val rolledBack = ConcurrentHashMap.newKeySet<String>()
     private val commitCounts = ConcurrentHashMap<String, Int>()
     private val positions = ConcurrentHashMap<String, LogPosition>()
+    private val runsById = ConcurrentHashMap<String, List<StatementRun>>()
     private val readsById = ConcurrentHashMap<String, List<ReadRun>>()
 
     /** The statements whose commit was made at a target after another one had been promoted. */
@@ -28,8 +29,11 @@
     /** Returns where the statement [statementId] was committed, or null if it was not. */
     fun positionOf(statementId: String): LogPosition? = positions[statementId]
 
+    /** Returns the runs of the statement [statementId] that a target ended with success. */
+    fun runsOf(statementId: String): List<StatementRun> = runsById[statementId].orEmpty()
+
     /** Returns the runs of the read [statementId], several if it was sent to several targets. */
-    fun runsOf(statementId: String): List<ReadRun> = readsById[statementId].orEmpty()
+    fun readsOf(statementId: String): List<ReadRun> = readsById[statementId].orEmpty()
 
     /** Whether a target has received the statement [statementId]. */
     fun hasBegun(statementId: String): Boolean = statementId in begun
@@ -38,6 +42,11 @@
         begun += statementId
     }
 
+    override fun onRun(target: String, statementId: String, digest: String) {
+        val run = StatementRun(target, digest, record.nowMillis)
+        runsById.merge(statementId, listOf(run)) { earlier, latest -> earlier + latest }
+    }
+
     override fun onRead(target: String, statementId: String, last: Commit?) {
         val run = ReadRun(target, last?.position)
         readsById.merge(statementId, listOf(run)) { earlier, latest -> earlier + latest }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/StaleReads.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/StaleReads.kt
@@ -17,7 +17,7 @@
     /** Returns a line for each run of a read of [reads] that was too old. */
     fun find(reads: Collection<CallerRead>): List<String> = reads.flatMap { read ->
         val required = required(read) ?: return@flatMap emptyList()
-        history.runsOf(read.statementId).filter { it.last == null || it.last < required }.map {
+        history.readsOf(read.statementId).filter { it.last == null || it.last < required }.map {
             "${read.statementId} of ${read.session}, sent at ${read.sentMillis}, ran at ${it.target} on ${it.last} " +
                 "and had to see $required"
         }
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/StatementRun.kt
@@ -0,0 +1,9 @@
+package dev.cardamomlane.standin.lane.record
+
+/**
+ * One run of a statement at a target.
+ *
+ * @property digest what the target answers with
+ * @property atMillis when it ended, by the record's clock
+ */
+internal data class StatementRun(val target: String, val digest: String, val atMillis: Long)
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.standin.lane.soak
 
 import dev.cardamomlane.standin.lane.record.GroupHistory
+import dev.cardamomlane.standin.lane.record.StaleReads
 import dev.cardamomlane.standin.lane.target.TargetLog
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 
@@ -8,11 +9,16 @@
  * The rules that a soak checks after its end, when all is healed.
  *
  * @param log of the primary
+ * @param keysByCustomer the keys of each customer, of which each has the rate [ratePerSecond] and a burst of as much
+ * @param isAcknowledgedByReplica whether a commit is acknowledged only once a replica has it
  */
 internal class SoakChecks(
     private val history: SoakHistory,
     private val group: GroupHistory,
     private val log: TargetLog,
+    private val keysByCustomer: Map<String, List<String>> = emptyMap(),
+    private val ratePerSecond: Int = 0,
+    private val isAcknowledgedByReplica: Boolean = false,
 ) {
     private val statements = history.statements()
     private val disturbances = history.disturbances()
@@ -23,6 +29,9 @@
         finding("acknowledged writes were committed at an old primary after a promotion", lateWrites()),
         finding("writes were committed though their callers were told that they were not run", refusedWrites()),
         finding("writes stand twice in the log", group.repeatedCommits.filter { log.count(it) > 1 }),
+        finding("reads were too old", StaleReads(history.commits(), group).find(history.reads())),
+        finding("answers are not those of a target", mixedAnswers()),
+        finding("customers got more than their rate", overRate()),
         finding("statements were cut by a planned stop", cutStatements()),
         finding("statements ran with a withdrawn key", withdrawnKeyStatements()),
         finding("hosts do not serve after the last disturbance", idleHosts()),
@@ -34,15 +43,50 @@
     private val acknowledged: List<String>
         get() = statements.filter { it.isCommit && it.answer.isRunByTarget }.map { it.answer.statementId }
 
-    /** What a promotion rolled back is excused, since replicas receive commits after they are acknowledged. */
+    /** What a promotion rolled back is excused where replicas receive commits after they are acknowledged. */
     private fun lostWrites(): List<String> {
         val kept = log.statementIds()
-        return acknowledged.filter { it !in kept && it !in group.rolledBackCommits }
+        return acknowledged.filter { it !in kept && (isAcknowledgedByReplica || it !in group.rolledBackCommits) }
     }
 
+    /** A commit that a host may have sent before it was paused is excused. */
     private fun lateWrites(): List<String> {
         val late = group.lateCommits
-        return acknowledged.filter { it in late }
+        val pauses = disturbances.filter { it.kind == DisturbanceKind.HOST_PAUSE }
+        return statements.filter { it.isCommit && it.answer.isRunByTarget && it.answer.statementId in late }
+            .filter { late -> pauses.none { it.overlaps(late.sentMillis - THAW_MILLIS, late.endedMillis) } }
+            .map { it.answer.statementId }
+    }
+
+    /** The successes with a digest that no target gave for their statements. */
+    private fun mixedAnswers(): List<String> = statements.filter { it.answer.isRunByTarget }
+        .filter { statement ->
+            group.runsOf(statement.answer.statementId).none { it.digest == statement.answer.digest }
+        }.map { it.answer.statementId }
+
+    /** The customers of which more operations were sent and run within the window than their rate allows. */
+    private fun overRate(): List<String> = keysByCustomer.mapNotNull { (customer, keys) ->
+        val operations = statements.filter { it.key in keys }.groupBy(SoakStatement::operationId).values
+            .mapNotNull(::sentAndRun).sortedBy { it.first }
+        val most = operations.indices.maxOfOrNull { runInWindow(operations, it) } ?: 0
+        val allowed = ratePerSecond * (RATE_WINDOW_MILLIS / MILLIS_PER_SECOND + 1) * RATE_TOLERANCE + RATE_SLACK
+        if (most <= allowed) null else "$customer $most of $allowed"
+    }
+
+    /** When an operation was sent and when a target had first run a statement of it, or null if none did. */
+    private fun sentAndRun(operation: List<SoakStatement>): Pair<Long, Long>? {
+        val runs = operation.flatMap { group.runsOf(it.answer.statementId) }
+        return runs.minOfOrNull { it.atMillis }?.let { operation.minOf(SoakStatement::sentMillis) to it }
+    }
+
+    private fun runInWindow(operations: List<Pair<Long, Long>>, first: Int): Int {
+        val endMillis = operations[first].first + RATE_WINDOW_MILLIS
+        var count = 0
+        for (index in first until operations.size) {
+            if (operations[index].first >= endMillis) break
+            if (operations[index].second < endMillis) count++
+        }
+        return count
     }
 
     private fun refusedWrites(): List<String> {
@@ -100,6 +144,13 @@
         private const val SERVED_SHARE = 4
         private const val STABLE_MILLIS = 4_000L
 
+        /** How long after a pause a host may still send what it had decided on before. */
+        private const val THAW_MILLIS = 300L
+        private const val RATE_WINDOW_MILLIS = 5_000L
+        private const val MILLIS_PER_SECOND = 1_000L
+        private const val RATE_TOLERANCE = 1.1
+        private const val RATE_SLACK = 20
+
         /** The bound of 3 s, and some time until the configuration is written. */
         private const val APPLY_MILLIS = 3_200L
         private const val EARLY_MILLIS = 3_000L
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
@@ -3,8 +3,10 @@
 import dev.cardamomlane.standin.lane.LaneInstallation
 import dev.cardamomlane.standin.lane.cases.BackgroundTasks
 import dev.cardamomlane.standin.lane.cases.Verdict
+import dev.cardamomlane.standin.lane.host.ClockOffsets
 import dev.cardamomlane.standin.lane.host.SitePlan
 import dev.cardamomlane.standin.lane.record.RunRecord
+import dev.cardamomlane.standin.lane.target.LaneTarget
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import java.nio.file.Files
@@ -38,14 +40,37 @@
     @Option(names = ["--hosts"], paramLabel = "N", description = ["number of hosts"], defaultValue = "6")
     private var hostCount: Int = 0
 
+    @Option(
+        names = ["--host-variable"],
+        paramLabel = "NAME=VALUE",
+        description = ["adds a variable to the hosts' environment; {host} and {dir} stand for their names and folder"],
+    )
+    private var hostVariables: Map<String, String> = emptyMap()
+
+    @Option(
+        names = ["--clocks"],
+        description = ["also steps the time of day of hosts, whose clocks must follow the files HOST.clock in DIR"],
+    )
+    private var hasClocks = false
+
     @Option(names = ["--dir"], required = true, paramLabel = "DIR", description = ["for settings, logs and the record"])
     private lateinit var directory: Path
 
+    /** In every other seed a commit is acknowledged only once a replica has it. */
+    private val syncReplicaCount get() = (seed % 2).toInt()
+
     override fun call(): Int {
         Files.createDirectories(directory)
         val record = RunRecord(directory.resolve("record.txt").bufferedWriter())
         val site = SitePlan.PRESS
-        val installation = LaneInstallation(site, hostCount, directory.toAbsolutePath(), record)
+        val installation = LaneInstallation(
+            site,
+            hostCount,
+            directory.toAbsolutePath(),
+            record,
+            hostVariables = hostVariables,
+            syncReplicaCount = syncReplicaCount,
+        )
         Runtime.getRuntime().addShutdownHook(Thread(installation::close))
         val verdict = if (installation.start()) run(installation) else Verdict.NotRun("the hosts are not ready")
         record.line("$verdict")
@@ -57,6 +82,8 @@
         val record = installation.record
         val history = SoakHistory()
         val keys = installation.customers.map { it.keys.first() }
+        val hostNames = installation.hosts.map { it.plan.name }
+        val clocks = if (hasClocks) ClockOffsets(installation.directory, hostNames) else null
         val endMillis = record.nowMillis + TimeUnit.SECONDS.toMillis(seconds)
         val areCallersOver = AtomicBoolean()
         BackgroundTasks().use { tasks ->
@@ -69,7 +96,8 @@
             }
             val occupied = ConcurrentHashMap.newKeySet<DisturbedPart>()
             val disturbers = List(DISTURBERS) { number ->
-                val disturber = Disturber(installation, history, Random(seed * SEED_STEP - 1 - number), occupied)
+                val random = Random(seed * SEED_STEP - 1 - number)
+                val disturber = Disturber(installation, history, random, clocks, occupied)
                 tasks.start { disturber.run { record.nowMillis > endMillis } }
             }
             awaitAll(disturbers)
@@ -88,15 +116,29 @@
     private fun check(installation: LaneInstallation, history: SoakHistory): Verdict {
         val platform = installation.platform
         val findings = platform.onLoop {
-            platform.group.primary()?.let { SoakChecks(history, platform.history, it.log).findings() }
+            platform.group.primary()?.let { checks(installation, history, it).findings() }
         } ?: return Verdict.NotRun("no target leads at the end")
         val statements = history.statements()
         val doneCount = statements.count { it.answer.isDone }
         if (doneCount == 0) return Verdict.NotRun("no statement succeeded")
-        val summary = "$doneCount of ${statements.size} statements done, ${history.disturbances().size} disturbances"
+        val kinds = history.disturbances().groupingBy { it.kind }.eachCount()
+        val summary = "$doneCount of ${statements.size} statements done, ${history.commits().size} commits " +
+            "acknowledged, ${history.reads().count {
+                platform.history.readsOf(it.statementId).isNotEmpty()
+            }} reads run, " +
+            "${kinds.values.sum()} disturbances $kinds"
         return Verdict.of(findings.isNotEmpty(), (findings + summary).joinToString("; "))
     }
 
+    private fun checks(installation: LaneInstallation, history: SoakHistory, primary: LaneTarget) = SoakChecks(
+        history,
+        installation.platform.history,
+        primary.log,
+        installation.customers.associate { it.name to it.keys },
+        installation.customers.first().ratePerSecond,
+        isAcknowledgedByReplica = syncReplicaCount > 0,
+    )
+
     private companion object {
         const val CALLERS_PER_HOST = 3
         const val DISTURBERS = 3
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakHistory.kt
@@ -1,21 +1,37 @@
 package dev.cardamomlane.standin.lane.soak
 
+import dev.cardamomlane.standin.lane.record.CallerCommit
+import dev.cardamomlane.standin.lane.record.CallerRead
 import java.util.concurrent.ConcurrentLinkedQueue
 
 /** What callers sent and got in a soak, and what disturbed it. Safe for use by several threads. */
 internal class SoakHistory {
     private val statements = ConcurrentLinkedQueue<SoakStatement>()
+    private val acknowledged = ConcurrentLinkedQueue<CallerCommit>()
+    private val sentReads = ConcurrentLinkedQueue<CallerRead>()
     private val ended = ConcurrentLinkedQueue<Disturbance>()
 
     fun add(statement: SoakStatement) {
         statements += statement
     }
 
+    fun add(commit: CallerCommit) {
+        acknowledged += commit
+    }
+
+    fun add(read: CallerRead) {
+        sentReads += read
+    }
+
     fun add(disturbance: Disturbance) {
         ended += disturbance
     }
 
     fun statements(): List<SoakStatement> = statements.toList()
 
+    fun commits(): List<CallerCommit> = acknowledged.toList()
+
+    fun reads(): List<CallerRead> = sentReads.toList()
+
     fun disturbances(): List<Disturbance> = ended.toList()
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakStatement.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakStatement.kt
@@ -7,11 +7,13 @@
  *
  * @property host where it was sent
  * @property key of the caller
+ * @property operationId the statement with which the operation began: this one, or the begin of its transaction
  * @property isCommit whether its success acknowledges a write
  */
 internal data class SoakStatement(
     val host: String,
     val key: String,
+    val operationId: String,
     val isCommit: Boolean,
     val sentMillis: Long,
     val endedMillis: Long,
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/PromotionServer.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/PromotionServer.kt
@@ -54,9 +54,10 @@
                 else -> {
                     onArrived(order)
                     val status = Sinks.one<Int>()
+                    val isAnswerLost = faults.losesAnswers
                     // A caller that goes away does not cancel its order.
                     timers.after(faults.slowMillis) { status.tryEmitValue(perform(order)) }
-                    status.asMono().flatMap { send(response, it) }
+                    status.asMono().flatMap { if (isAnswerLost) Mono.never() else send(response, it) }
                 }
             }
         }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
@@ -124,7 +124,7 @@
     private fun read(statementId: String, item: String) = runInSlot {
         target.group.listener.onRead(target.name, statementId, target.lastApplied)
         val data = transaction?.values?.get(item) ?: target.log.value(item, target.appliedCount)
-        answerRun("ROW ${data ?: "-"}\r\n")
+        answerRun(statementId, "ROW ${data ?: "-"}\r\n")
     }
 
     private fun write(statementId: String, item: String, data: String) = runInSlot {
@@ -133,10 +133,10 @@
             transaction != null && transaction.isReadOnly -> fail(PlatformWords.READ_ONLY)
             transaction != null -> {
                 transaction.write(item, data)
-                answerRun("")
+                answerRun(statementId)
             }
             else -> {
-                val isCommitted = target.commit(statementId, mapOf(item to data)) { answerRun("") }
+                val isCommitted = target.commit(statementId, mapOf(item to data)) { answerRun(statementId) }
                 if (!isCommitted) fail(PlatformWords.READ_ONLY)
             }
         }
@@ -156,11 +156,11 @@
             transaction = null
             val isCommitted = when {
                 ending.values.isEmpty() -> {
-                    answerRun("")
+                    answerRun(statementId)
                     true
                 }
                 ending.hasLost(target) -> false
-                else -> target.commit(statementId, ending.values) { answerRun("") }
+                else -> target.commit(statementId, ending.values) { answerRun(statementId) }
             }
             if (!isCommitted) fail(PlatformWords.READ_ONLY)
         }
@@ -181,12 +181,14 @@
         answer("ROW $role ${target.term} $received ${target.heldTerm} $lagMillis $load\r\nDONE -\r\n")
     }
 
-    private fun answerRun(rows: String) {
+    private fun answerRun(statementId: String, rows: String = "") {
+        val digest = target.nextDigest()
+        target.group.listener.onRun(target.name, statementId, digest)
         if (target.consumeLostAnswer()) {
             target.group.listener.onEvent("target ${target.name} loses an answer")
             close()
         } else {
-            answer("${rows}DONE ${target.nextDigest()}\r\n")
+            answer("${rows}DONE $digest\r\n")
         }
     }
 
--- a/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
@@ -1,6 +1,8 @@
 package dev.cardamomlane.standin.lane.soak
 
 import dev.cardamomlane.standin.lane.caller.CallerAnswer
+import dev.cardamomlane.standin.lane.caller.CallerRoute
+import dev.cardamomlane.standin.lane.record.CallerCommit
 import dev.cardamomlane.standin.lane.target.GroupFixture
 import dev.cardamomlane.standin.lane.target.TargetLog
 import dev.cardamomlane.standin.lane.wire.PlatformWords
@@ -19,24 +21,36 @@
         return checks()
     }
 
-    private fun checks() = SoakChecks(history, fixture.history, checkNotNull(fixture.group.primary()).log).findings()
+    private fun checks(isAcknowledgedByReplica: Boolean = false) = SoakChecks(
+        history,
+        fixture.history,
+        checkNotNull(fixture.group.primary()).log,
+        mapOf("club" to listOf("key")),
+        ratePerSecond = 83,
+        isAcknowledgedByReplica,
+    ).findings()
 
     private fun finding() = findings().single()
 
     /** Statements that succeed after all disturbances of a test, so that the host counts as serving. */
     private fun recover() = repeat(2) { read("r$it", sentMillis = END_MILLIS) }
 
-    private fun read(id: String, sentMillis: Long) =
+    private fun read(id: String, sentMillis: Long) {
+        fixture.history.onRun("a", id, "a.1")
         answered(CallerAnswer(id, null, digest = "a.1"), sentMillis, isCommit = false)
+    }
 
     private fun answered(
         answer: CallerAnswer,
         sentMillis: Long = 0,
         endedMillis: Long = sentMillis + 10,
         isCommit: Boolean = true,
-    ) = history.add(SoakStatement("h", "key", isCommit, sentMillis, endedMillis, answer))
+    ) = history.add(SoakStatement("h", "key", answer.statementId, isCommit, sentMillis, endedMillis, answer))
 
-    private fun done(id: String, sentMillis: Long = 0) = answered(CallerAnswer(id, null, digest = "a.1"), sentMillis)
+    private fun done(id: String, sentMillis: Long = 0) {
+        fixture.history.onRun("a", id, "a.1")
+        answered(CallerAnswer(id, null, digest = "a.1"), sentMillis)
+    }
 
     private fun cut(id: String, sentMillis: Long, endedMillis: Long) {
         fixture.history.onBegun("a", id)
@@ -75,6 +89,58 @@
         assertEquals(emptyList(), findings())
     }
 
+    @Test
+    fun `a rolled back write is found where a replica must have it before it is acknowledged`() {
+        fixture.a.commit("w", mapOf("1a" to "x")) {}
+        fixture.a.crash()
+        fixture.group.promote("b")
+        fixture.timers.advance(300)
+        fixture.a.start()
+        done("w")
+        recover()
+        assertContains(checks(isAcknowledgedByReplica = true).single(), "are lost: [w]")
+    }
+
+    @Test
+    fun `a read that is too old is found`() {
+        fixture.b.lagMillis = 60_000
+        commit("w")
+        done("w")
+        history.add(CallerCommit("w", "writer", acknowledgedMillis = 100))
+        read("r", sentMillis = 2_000)
+        fixture.history.onRead("b", "r", fixture.b.lastApplied)
+        history.add(CallerRoute.BOUNDED.read("r", "reader", sentMillis = 2_000))
+        assertContains(finding(), "1 reads were too old: [r of reader")
+    }
+
+    @Test
+    fun `a success with a digest that no target gave is found`() {
+        commit("w")
+        done("w")
+        fixture.history.onRun("a", "r", "a.2")
+        answered(CallerAnswer("r", null, digest = "a.1"), isCommit = false)
+        assertContains(finding(), "1 answers are not those of a target: [r]")
+    }
+
+    @Test
+    fun `more operations of a customer than its rate allows are found`() {
+        repeat(567) { read("r$it", sentMillis = 0) }
+        assertEquals(emptyList(), findings())
+        read("last", sentMillis = 0)
+        assertContains(finding(), "got more than their rate: [club 568 of 567")
+    }
+
+    @Test
+    fun `an acknowledged write at an old primary is excused if a host was paused meanwhile`() {
+        fixture.group.promote("b")
+        fixture.timers.advance(300)
+        commit("late")
+        fixture.timers.advance(2_000)
+        done("late", sentMillis = 5_200)
+        disturb(DisturbanceKind.HOST_PAUSE, "h", startMillis = 4_000, endMillis = 5_000)
+        assertEquals(emptyList(), findings())
+    }
+
     @Test
     fun `an acknowledged write at an old primary is found`() {
         fixture.group.promote("b")
