daemon: the time of the PostgreSQL daemon counts suspensions of the machine

What callers may have seen: after a suspension of a daemon's machine, reads older than their route allows, since the samples of the primary's position seemed younger than they were; likewise evidence of good standing and loans.

Cause: EventLoopTimerService read System.nanoTime, which stops while the machine is suspended. The platform's hosts read CLOCK_BOOTTIME since.

A daemon that can't read it logs so and uses the monotonic clock.

Evidence: this machine has never been suspended, so both clocks show the same time here, and no test can tell them apart by their readings.

--- a/platform/src/main/kotlin/dev/cardamomlane/platform/BootTimeClock.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/clock/BootTimeClock.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.core.clock
 
 import com.sun.jna.Memory
 import com.sun.jna.Native
@@ -13,7 +13,7 @@
  *
  * Safe for use by several threads.
  */
-internal class BootTimeClock private constructor() : ElapsedClock {
+public class BootTimeClock private constructor() : ElapsedClock {
     private val time = Memory(TIMESPEC_BYTES)
 
     @Synchronized
@@ -33,7 +33,7 @@
         external fun clock_gettime(clock: Int, time: Pointer): Int
     }
 
-    companion object {
+    public companion object {
         private const val CLOCK_BOOTTIME = 7
 
         /** A `struct timespec` of a 64-bit system: seconds and nanoseconds, of 8 bytes each. */
@@ -46,7 +46,7 @@
          *
          * @throws UnsupportedOperationException if this system has no such clock, or it can't be read
          */
-        fun open(): BootTimeClock = try {
+        public fun open(): BootTimeClock = try {
             check(Native.LONG_SIZE == LONG_BYTES) { "the system has ${Native.LONG_SIZE} bytes per long" }
             BootTimeClock().apply { nowMillis() }
         } catch (e: LinkageError) {
--- a/platform/src/main/kotlin/dev/cardamomlane/platform/ElapsedClock.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/clock/ElapsedClock.kt
@@ -1,7 +1,7 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.core.clock
 
 /** A clock that tells how much time has passed and that no step of the time of day moves. */
-internal fun interface ElapsedClock {
+public fun interface ElapsedClock {
     /** Milliseconds since an arbitrary origin. */
-    fun nowMillis(): Long
+    public fun nowMillis(): Long
 }
--- a/platform/src/main/kotlin/dev/cardamomlane/platform/MachineClock.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/clock/MachineClock.kt
@@ -1,4 +1,4 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.core.clock
 
 import java.util.concurrent.TimeUnit
 
@@ -8,13 +8,13 @@
  *
  * Safe for use by several threads.
  */
-internal object MachineClock : ElapsedClock {
+public object MachineClock : ElapsedClock {
     private val bootTime = runCatching(BootTimeClock::open)
-    private val clock: ElapsedClock =
+    internal val clock: ElapsedClock =
         bootTime.getOrDefault(ElapsedClock { TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) })
 
     /** Why [BootTimeClock] can't be read, or null when it can. */
-    val failure: String? = bootTime.exceptionOrNull()?.message
+    public val failure: String? = bootTime.exceptionOrNull()?.message
 
     override fun nowMillis(): Long = clock.nowMillis()
 }
--- a/platform/src/test/kotlin/dev/cardamomlane/platform/BootTimeClockTest.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/clock/BootTimeClockTest.kt
@@ -1,9 +1,10 @@
-package dev.cardamomlane.platform
+package dev.cardamomlane.core.clock
 
 import org.junit.jupiter.api.condition.EnabledOnOs
 import org.junit.jupiter.api.condition.OS
 import java.io.File
 import kotlin.test.Test
+import kotlin.test.assertIs
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
@@ -25,6 +26,7 @@
     @Test
     fun `the clock of the machine is this one`() {
         assertNull(MachineClock.failure)
+        assertIs<BootTimeClock>(MachineClock.clock)
         val before = BootTimeClock.open().nowMillis()
         val millis = MachineClock.nowMillis()
         assertTrue(millis in before..BootTimeClock.open().nowMillis())
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/Daemon.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/Daemon.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.daemon
 
 import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.clock.MachineClock
 import dev.cardamomlane.core.fleet.FleetTimings
 import dev.cardamomlane.core.queue.AdaptiveLimit
 import dev.cardamomlane.core.queue.EstimatingConnectionBudget
@@ -106,6 +107,7 @@
         callers =
             bound(CallerServer(host.callerAddress, loops, tls(settings.callers), services, callerConnections).bind())
         Logger.info("host: {} serves callers on {}.", host.name, host.callerAddress)
+        MachineClock.failure?.let { Logger.warn("clock: suspensions of the machine are not counted: {}", it) }
     }
 
     /**
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/EventLoopTimerService.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/EventLoopTimerService.kt
@@ -2,15 +2,23 @@
 
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.clock.ElapsedClock
+import dev.cardamomlane.core.clock.MachineClock
 import dev.cardamomlane.store.RateLimitedLog
 import io.netty.channel.EventLoop
 import java.util.concurrent.TimeUnit
 
-/** A [TimerService] on the JVM's monotonic clock that calls subscribers on [loop]. */
-internal class EventLoopTimerService(private val loop: EventLoop) : TimerService {
+/**
+ * A [TimerService] that calls subscribers on [loop].
+ *
+ * Its time is that of [clock]. The delays of its timers don't count the time for which the machine is suspended, so
+ * timers are late after a suspension, as after a pause of the process.
+ */
+internal class EventLoopTimerService(private val loop: EventLoop, internal val clock: ElapsedClock = MachineClock) :
+    TimerService {
     private val log = RateLimitedLog(::nowMillis)
 
-    override fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
+    override fun nowMillis(): Long = clock.nowMillis()
 
     override fun after(delayMillis: Long, action: () -> Unit): TimerSubscription {
         val task = loop.schedule(logFailures("a task", action), delayMillis, TimeUnit.MILLISECONDS)
@@ -34,8 +42,4 @@
             log.error("timer: $kind at ${failure.stackTrace.firstOrNull()}", failure)
         }
     }
-
-    private companion object {
-        const val NANOS_PER_MILLI = 1_000_000L
-    }
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/Main.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/Main.kt
@@ -50,5 +50,6 @@
 }
 
 public fun main(arguments: Array<String>) {
+    System.setProperty("jna.tmpdir", System.getProperty("java.io.tmpdir"))
     exitProcess(CommandLine(Main()).execute(*arguments))
 }
