--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/ReleaseAndKill.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/ReleaseAndKill.kt
@@ -12,8 +12,14 @@
 /**
  * A primary drains, and the host that hands it over is killed just after its promotion was accepted. Callers commit
  * meanwhile. No commit may be made at an old primary after a promotion has taken effect, and be acknowledged.
+ *
+ * @param firstCommitMillis from the report of the primary that it drains to the first commit
+ * @param commitStepMillis between two commits
  */
-internal class ReleaseAndKill : ReviewCase {
+internal class ReleaseAndKill(
+    private val firstCommitMillis: Long = FIRST_COMMIT_MILLIS,
+    private val commitStepMillis: Long = COMMIT_STEP_MILLIS,
+) : ReviewCase {
     override val site = SitePlan.PRESS
 
     override fun run(installation: LaneInstallation, hasTrouble: Boolean): Verdict {
@@ -62,7 +68,7 @@
         val platform = installation.platform
         val primary = platform.onLoop { platform.primaryServer().also { if (hasTrouble) it?.target?.drain() } }
         sessions.forEachIndexed { index, session ->
-            tasks.startAfter(FIRST_COMMIT_MILLIS + index * COMMIT_STEP_MILLIS) {
+            tasks.startAfter(firstCommitMillis + index * commitStepMillis) {
                 val answer = session.run("COMMIT")
                 if (answer.isDone) acknowledged += answer.statementId
             }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
@@ -5,7 +5,6 @@
 import dev.cardamomlane.standin.lane.host.ClockOffsets
 import dev.cardamomlane.standin.lane.host.HostProcess
 import dev.cardamomlane.standin.lane.store.StoreOutage
-import dev.cardamomlane.standin.lane.target.TargetServer
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
@@ -36,15 +35,22 @@
         while (!isOver()) {
             Thread.sleep(random.nextLong(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS))
             val kind = kinds.random(random)
-            if (isOver() || !occupied.add(kind.part)) continue
+            if (isOver() || !occupy(kind.parts)) continue
             try {
                 disturb(kind)
             } finally {
-                occupied -= kind.part
+                occupied -= kind.parts
             }
         }
     }
 
+    /** Takes all of [parts], or none of them and returns false if another disturbance meets one. */
+    private fun occupy(parts: Set<DisturbedPart>): Boolean {
+        val taken = parts.filter(occupied::add)
+        if (taken.size < parts.size) occupied -= taken.toSet()
+        return taken.size == parts.size
+    }
+
     private fun disturb(kind: DisturbanceKind) {
         val startMillis = record.nowMillis
         record.line("disturbance $kind begins")
@@ -134,16 +140,15 @@
         Thread.sleep(random.nextLong(2_500, 7_000))
         isArmed.set(false)
         killed.forEach(HostProcess::start)
-        server?.let { platform.onLoop { restart(it) } }
+        if (server != null) {
+            platform.onLoop { server.crash() }
+            Thread.sleep(RESTART_MILLIS)
+            platform.onLoop { server.start() }
+        }
         killed.forEach(::awaitReady)
         return killed.joinToString { it.plan.name }
     }
 
-    private fun restart(server: TargetServer) {
-        if (server.target.isRunning) server.crash()
-        server.start()
-    }
-
     private fun stopInTurn(): String {
         val hosts = installation.hosts.shuffled(random).take(random.nextInt(2, 4))
         hosts.forEach { host ->
@@ -262,6 +267,7 @@
         private const val MAX_PAUSE_MILLIS = 3_000L
         private const val POLL_MILLIS = 100L
         private const val FOREIGN_ROW_COUNT = 3
+        private const val RESTART_MILLIS = 500L
         private const val HOT_CALLERS = 12
         private const val HOT_PAUSE_MILLIS = 4L
 
