fleet: the order and the first fence of a takeover are checked where they are read

What could be seen: a heartbeat or a control row with an order for a blank target, or with a count or a fence that no host writes, was believed; a huge attempt would have stayed the newest for good, and a blank target ended the handling of that heartbeat, so that it gave no proof.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -228,6 +228,7 @@
             return
         }
         val heartbeat = peer.decode(message) ?: return
+        if (!PeerMessageCheck.areValid(message.details.orEmpty(), heartbeat)) return
         val nowMillis = timers.nowMillis()
         val wasFromFuture = peer.isFromFuture
         if (!peer.receive(heartbeat, self.incarnation, nowMillis)) return
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheck.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheck.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.SequenceNumbers
 import dev.cardamomlane.engine.group.GroupRecord
+import dev.cardamomlane.engine.group.PromotionOrder
 
 /**
  * Checks the values in messages of other hosts.
@@ -32,6 +33,19 @@
             heartbeat.groups.all(::isValid) && heartbeat.demand.all(::isValid)
     }
 
+    /** True when a host can have sent [details] beside [heartbeat]. Those of groups without a status are not used. */
+    fun areValid(details: List<RecordDetail>, heartbeat: Heartbeat): Boolean {
+        val statuses = heartbeat.groups.associateBy { it.group }
+        return details.all { detail -> statuses[detail.group]?.let { isValid(detail, it) } ?: true }
+    }
+
+    private fun isValid(detail: RecordDetail, status: GroupStatus): Boolean {
+        val fences = 0..GroupRecord.highestFence(status.position.epoch)
+        val order = detail.order ?: return detail.takeoverFence in fences
+        return detail.takeoverFence in fences && order.fence in fences && order.target.isNotBlank() &&
+            order.attempt in PromotionOrder.COUNTS && order.openCount in PromotionOrder.COUNTS
+    }
+
     private fun isValid(status: GroupStatus): Boolean {
         val highestFence = GroupRecord.highestFence(status.position.epoch)
         val numbers = listOf(status.recordTerm, status.positionTerm, status.positionOffset)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/PromotionOrder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/PromotionOrder.kt
@@ -9,4 +9,9 @@
  * @property attempt how many orders have been stored under that fence, this one included
  * @property openCount how many orders of [target] may still be carried out, this one included, by what its sender knew
  */
-public data class PromotionOrder(val target: TargetId, val fence: Long, val attempt: Int, val openCount: Int)
+public data class PromotionOrder(val target: TargetId, val fence: Long, val attempt: Int, val openCount: Int) {
+    public companion object {
+        /** What [attempt] and [openCount] can be: one takeover sends far fewer orders. */
+        public val COUNTS: IntRange = 0..1_000_000
+    }
+}
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheckTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheckTest.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.ManualTimerService
 import dev.cardamomlane.core.codec.CborMessages
 import dev.cardamomlane.engine.FakeStore
@@ -64,7 +65,8 @@
 
     private fun decoded(heartbeat: Heartbeat) = PeerCodec.decode(PeerCodec.encode(PeerMessage("b", 1, heartbeat)))
 
-    private fun deliver(heartbeat: Heartbeat) = decoded(heartbeat)?.let(fleet::onMessage)
+    private fun deliver(heartbeat: Heartbeat, details: List<RecordDetail>? = null) =
+        decoded(heartbeat)?.let { fleet.onMessage(it.copy(details = details)) }
 
     @Test
     fun `a message whose values a host can have is decoded`() {
@@ -97,6 +99,29 @@
         for (odd in heartbeats) assertNull(decoded(odd), "$odd")
     }
 
+    /** Guards against an order or a first fence that stays the newest for good once it is believed. */
+    @Test
+    fun `a heartbeat whose record details are out of range is ignored`() {
+        start()
+        val order = OrderStatus("t", fence = 1, attempt = 1, openCount = 1)
+        val odd = listOf(
+            RecordDetail("g", takeoverFence = 1_000_001),
+            RecordDetail("g", takeoverFence = -1),
+            RecordDetail("g", takeoverFence = 1, order.copy(target = " ")),
+            RecordDetail("g", takeoverFence = 1, order.copy(fence = Long.MAX_VALUE)),
+            RecordDetail("g", takeoverFence = 1, order.copy(attempt = Int.MAX_VALUE)),
+            RecordDetail("g", takeoverFence = 1, order.copy(openCount = -1)),
+        )
+        odd.forEachIndexed { index, detail ->
+            deliver(heartbeat.copy(sentAtMillis = index + 1L), listOf(detail))
+            assertNull(records.record(DatabaseId("g")), "$detail")
+        }
+
+        deliver(heartbeat.copy(sentAtMillis = 100), listOf(RecordDetail("g", takeoverFence = 1, order)))
+
+        assertEquals(order.order(), records.record(DatabaseId("g"))?.order)
+    }
+
     /** Guards against a compressed heartbeat that passes unchecked. */
     @Test
     fun `a compressed heartbeat with a value out of range is dropped`() {
