engine tests: what the guards taken out one at a time did not show, and hosts that are frozen during takeovers

Each of these cases fails now when its guard is taken out:

- ForwardingTest: a forwarded commit whose host is lost has an unknown outcome.
It could have been told that nothing is kept.
- CallerSessionTest: a write whose connection breaks is not sent again.
Only the lost answer on an open connection was tested.
- ReadRoutingTest: a read-only transaction begins only where its position is applied.
- GroupRecordTest: the first fence of an epoch exceeds all fences before it.
- TargetTest: a connection with an answer to nothing is not used again.

TakeoverSimulation freezes hosts, above all holders, for up to 4 s; what arrives meanwhile waits or is lost. No product code changes here.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -66,6 +66,9 @@
     /** Paths between hosts on which datagrams are lost, as `from>to`. */
     val cutPaths = HashSet<String>()
 
+    /** True when what arrives at a machine that is suspended is lost; otherwise it waits. */
+    var losesDatagramsWhileSuspended = false
+
     /** How many datagrams each host has sent or received, by its name. */
     val datagramCounts = HashMap<String, Int>()
 
@@ -146,14 +149,15 @@
             zones = listOf("a"),
             timers = process,
             dialer = targets.dialerFor(name, machine::whenAwake) { process.isRunning },
-            store = PartitionableStore(store, timers, { nextStoreFate() }) {
+            store = PartitionableStore(store, timers, { nextStoreFate() }, machine::whenAwake) {
                 !process.isRunning || name in hostsWithoutPlatform
             },
             network = { address, message -> if (process.isRunning) deliver(name, address, message) },
             hostDialer = links.dialerFor(name),
             promotion = { _, target, holder, fence ->
                 val isReached = process.isRunning && holder.substringBefore('#') !in hostsWithoutPlatform
-                if (isReached) promotionCalls.call(target.value, holder, fence) else Mono.never()
+                val answer = if (isReached) promotionCalls.call(target.value, holder, fence) else Mono.never()
+                Mono.create { sink -> answer.subscribe { machine.whenAwake { sink.success(it) } } }
             },
             log = log,
             meter = { _, _, _ -> },
@@ -171,6 +175,7 @@
         traffic.count(TrafficKind.of(message), bytes.size)
         if (from in partitionedHosts || to in partitionedHosts || "$from>$to" in cutPaths) return
         timers.after(1) {
+            if (losesDatagramsWhileSuspended && machine(to).isSuspended) return@after
             machine(to).whenAwake { hostsByAddress[to]?.onPeerMessage(checkNotNull(PeerCodec.decode(bytes))) }
         }
     }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/PartitionableStore.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/PartitionableStore.kt
@@ -12,22 +12,27 @@
  * The store as one host sees it: out of reach while [isPartitioned] returns true.
  *
  * @param nextFate decides what becomes of the next write
+ * @param whenAwake calls an action now, or once the host's machine is no longer suspended; answers wait for it
  */
 class PartitionableStore(
     private val store: ControlStore,
     private val timers: TimerService,
     private val nextFate: () -> Fate = { Fate() },
+    private val whenAwake: (() -> Unit) -> Unit = { it() },
     private val isPartitioned: () -> Boolean,
 ) : ControlStore {
-    override fun read(): Mono<ControlRows> =
-        Mono.defer { if (isPartitioned()) Mono.error(StoreUnavailableException("partitioned")) else store.read() }
+    override fun read(): Mono<ControlRows> = onMachine(
+        Mono.defer { if (isPartitioned()) Mono.error(StoreUnavailableException("partitioned")) else store.read() },
+    )
 
     override fun onRestored(listener: () -> Unit) = store.onRestored { if (!isPartitioned()) listener() }
 
-    override fun write(change: ControlChange): Mono<StoreWrite> = Mono.defer {
-        if (isPartitioned()) return@defer Mono.just(StoreWrite.Unknown("partitioned"))
+    override fun write(change: ControlChange): Mono<StoreWrite> = onMachine(Mono.defer { attempt(change) })
+
+    private fun attempt(change: ControlChange): Mono<StoreWrite> {
+        if (isPartitioned()) return Mono.just(StoreWrite.Unknown("partitioned"))
         val fate = nextFate()
-        when {
+        return when {
             fate.appliedInMillis > 0 -> {
                 timers.after(fate.appliedInMillis) { store.write(change).subscribe() }
                 Mono.just(StoreWrite.Unknown("late"))
@@ -38,6 +43,10 @@
         }
     }
 
+    private fun <T : Any> onMachine(call: Mono<T>): Mono<T> = Mono.create { sink ->
+        call.subscribe({ whenAwake { sink.success(it) } }, { whenAwake { sink.error(it) } })
+    }
+
     private fun answerLate(change: ControlChange, millis: Long): Mono<StoreWrite> = Mono.create { sink ->
         store.write(change).subscribe { outcome ->
             timers.after(millis) { if (!isPartitioned()) sink.success(outcome) }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverSimulation.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverSimulation.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.engine.ClockReading
 import dev.cardamomlane.engine.FakePromotions
 import dev.cardamomlane.engine.FakeTarget
 import dev.cardamomlane.engine.HostFixture
@@ -16,12 +17,21 @@
  * Callers write and commit at every host meanwhile. The schedule compares what they were told, what the targets
  * committed and what was ordered.
  *
+ * @param hasFreezes true to suspend the machines of hosts besides, above all of those that hold a takeover
  * @param log receives the decisions of all hosts
  */
-internal class TakeoverSimulation(seed: Long, log: DecisionLog = DecisionLog.None) {
+internal class TakeoverSimulation(
+    seed: Long,
+    private val hasFreezes: Boolean = false,
+    clockReading: ClockReading = ClockReading.BOOT_TIME,
+    log: DecisionLog = DecisionLog.None,
+) {
     private val random = Random(seed)
+
+    /** Apart from [random], so that a seed gives the same other troubles with and without freezes. */
+    private val freezeRandom = Random(-seed)
     private val hostCount = 3 + random.nextInt(3)
-    private val fixture = HostFixture(hostCount, settleMillis = 1_500, log = log)
+    private val fixture = HostFixture(hostCount, settleMillis = 1_500, log = log, clockReading = clockReading)
     private val timers = fixture.timers
     private val calls = fixture.promotionCalls
     private val ids = listOf("p", "r1", "r2")
@@ -45,6 +55,10 @@
     /** The number of orders that were sent. */
     val orderCount: Int get() = calls.sent.size
 
+    /** The number of times that a machine was suspended. */
+    var freezeCount = 0
+        private set
+
     /** The number of hosts that were killed at a step of a takeover. */
     var killCount = 0
         private set
@@ -58,6 +72,7 @@
         fixture.store.onWritten =
             { reach(if (it.isChanging) TakeoverEvent.CLAIMED else TakeoverEvent.PUBLISHED, it.holder) }
         fixture.nextStoreFate = ::storeFate
+        fixture.losesDatagramsWhileSuspended = freezeRandom.nextBoolean()
         fixture.targets.onCommit = { target, text -> history.committed(text, isAtPrimary = target === primary) }
         val secondAtMillis = 3_000L + random.nextInt(6_000)
         runFor(200)
@@ -78,10 +93,19 @@
             replicate()
             demoteStale()
             list()
-            for (caller in callers) if (caller.host !in killed) caller.step()
+            if (freezeRandom.nextInt(FREEZE_SHARE) == 0) freeze(freezeRandom.nextInt(hostCount))
+            for (caller in callers) if (isRunning(caller.host)) caller.step()
         }
     }
 
+    private fun isRunning(index: Int) = index !in killed && !fixture.machine("host-$index").isSuspended
+
+    private fun freeze(index: Int) {
+        if (!hasFreezes || isQuiet || !isRunning(index)) return
+        freezeCount++
+        fixture.machine("host-$index").suspend(100L + freezeRandom.nextInt(MAX_FREEZE_MILLIS))
+    }
+
     private fun trouble() {
         promotionTrouble = random.nextInt(5)
         isStoreTroubled = random.nextInt(3) == 0
@@ -145,8 +169,9 @@
 
     /** The takeover of [holder] has come to [event]; kills that host now or a little later if it is to be killed there. */
     private fun reach(event: TakeoverEvent, holder: String) {
-        if (killsLeft == 0 || event != killAt || random.nextInt(3) == 0) return
         val index = holder.substringBefore('#').removePrefix("host-").toInt()
+        if (freezeRandom.nextInt(3) == 0) timers.after(1 + freezeRandom.nextLong(400)) { freeze(index) }
+        if (killsLeft == 0 || event != killAt || random.nextInt(3) == 0) return
         if (index in killed) return
         killsLeft--
         if (random.nextBoolean()) kill(index) else timers.after(random.nextLong(400)) { kill(index) }
@@ -195,10 +220,15 @@
         fixture.entries = entries
         listVersion++
         for (index in 0 until hostCount) {
-            if (index !in killed) fixture.hosts[index].updateTargets(entries, StorePosition(1, listVersion))
+            if (index !in killed) update(index, StorePosition(1, listVersion))
         }
     }
 
+    private fun update(index: Int, position: StorePosition) {
+        val entries = fixture.entries
+        fixture.machine("host-$index").whenAwake { fixture.hosts[index].updateTargets(entries, position) }
+    }
+
     private fun onPromoted(target: FakeTarget, order: FakePromotions.Order) {
         val record = fixture.store.written.lastOrNull()
         if (record != null && !record.isChanging && record.primary.value != target.id) {
@@ -224,6 +254,10 @@
 
     private companion object {
         const val STEP_MILLIS = 20L
+
+        /** One step in so many suspends a machine. */
+        const val FREEZE_SHARE = 40
+        const val MAX_FREEZE_MILLIS = 4_000
         const val CALLERS_PER_HOST = 3
         const val TROUBLE_MILLIS = 10_000L
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverSimulationTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverSimulationTest.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.engine.ClockReading
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -26,11 +27,35 @@
         assertEquals(emptyList(), findings)
     }
 
+    /** Guards against a host that wakes up and takes what it held before for current: proof, a claim, a confirmation. */
+    @Test
+    fun `no schedule in which hosts are frozen besides breaks a rule`() {
+        val findings = seeds.flatMap { seed ->
+            TakeoverSimulation(seed, hasFreezes = true).run().map { "seed $seed: $it" }
+        }
+
+        assertEquals(emptyList(), findings)
+    }
+
+    @Test
+    fun `the schedules with frozen hosts find writes of a replaced primary with a clock that stops while suspended`() {
+        val findings = (1L..MISLED_SCHEDULES).flatMap { seed ->
+            TakeoverSimulation(seed, hasFreezes = true, clockReading = ClockReading.MONOTONIC).run()
+        }
+
+        assertTrue(findings.isNotEmpty())
+    }
+
     @Test
     fun `the schedules order promotions and kill holders`() {
-        val runs = (1L..20L).map { seed -> TakeoverSimulation(seed).also { it.run() } }
+        val runs = (1L..20L).map { seed -> TakeoverSimulation(seed, hasFreezes = seed > 10).also { it.run() } }
 
         assertTrue(runs.sumOf { it.orderCount } >= 20, "${runs.sumOf { it.orderCount }} orders")
         assertTrue(runs.sumOf { it.killCount } >= 5, "${runs.sumOf { it.killCount }} kills")
+        assertTrue(runs.sumOf { it.freezeCount } >= 50, "${runs.sumOf { it.freezeCount }} freezes")
+    }
+
+    private companion object {
+        const val MISLED_SCHEDULES = 150L
     }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -178,6 +178,23 @@
         assertTrue(primary.ran.count { it == "WRITE 2 x" } <= 1)
     }
 
+    /** Guards against a promise that nothing is kept of a transaction whose commit the lost host may have sent. */
+    @Test
+    fun `a transaction whose serving host is lost during the commit has an unknown outcome`() {
+        val session = open()
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        fixture.ask(session, caller, write)
+        primary.answersInMillis = 50
+        session.onStatement("c", Statement.Commit)
+        fixture.timers.advance(20)
+
+        fixture.links.disconnect(servingHost())
+        fixture.timers.advance(400)
+
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, caller.answers.last().error?.code)
+        assertEquals(TransactionState.IDLE, caller.answers.last().state)
+    }
+
     @Test
     fun `a transaction whose serving host is lost before the commit is aborted`() {
         val session = open()
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/ReadRoutingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/ReadRoutingTest.kt
@@ -46,6 +46,22 @@
         assertTrue(fixture.targets.target("r1").ran.isEmpty() && fixture.targets.target("r2").ran.isEmpty())
     }
 
+    /** Guards against a read-only transaction whose target does not check the position that its reads require. */
+    @Test
+    fun `read-only transactions with session consistency begin only where the session's last commit is applied`() {
+        val session = fixture.open(caller, database = "session")
+        assertNotNull(fixture.ask(session, caller, write)?.position)
+
+        repeat(10) {
+            fixture.ask(session, caller, Statement.Begin(isReadOnly = true), millis = 60)
+            fixture.ask(session, caller, read)
+            assertNull(fixture.ask(session, caller, Statement.Commit)?.error)
+        }
+
+        assertEquals(10, fixture.targets.target("p").ran.count { it == "READ 1" })
+        assertTrue(fixture.targets.target("r1").ran.isEmpty() && fixture.targets.target("r2").ran.isEmpty())
+    }
+
     @Test
     fun `reads with bounded consistency prefer replicas that keep up`() {
         val session = fixture.open(caller, database = "bounded")
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/WriteGateTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/group/WriteGateTest.kt
@@ -54,6 +54,28 @@
         }
     }
 
+    /** Guards against commits of a transaction that was being begun when this host confirmed, under a later claim. */
+    @Test
+    fun `a confirmation without open transactions binds one that opens afterwards`() {
+        learn(fence = 1, takeoverFence = 1, isChanging = false)
+        learn(fence = 2, takeoverFence = 2, isChanging = true)
+        assertEquals(2, gate.confirmedFence)
+        gate.opened("transaction")
+
+        learn(fence = 3, takeoverFence = 2, isChanging = true)
+
+        assertFalse(gate.mayCommit(target) || gate.mayAcknowledge(target))
+    }
+
+    @Test
+    fun `a write at a target that is not the primary is neither committed nor acknowledged`() {
+        learn(fence = 1, takeoverFence = 1, isChanging = false)
+        val other = Target(targetEntry("q"), timers, FakeTargets(timers), DecisionLog.None, NoListener)
+
+        assertTrue(gate.mayAcknowledge(target))
+        assertFalse(gate.mayCommit(other) || gate.mayAcknowledge(other))
+    }
+
     /** Guards against a host that gets its grace time again with each claim and so never confirms. */
     @Test
     fun `the grace time of open transactions counts from the first claim`() {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -292,6 +292,22 @@
         assertEquals(listOf("WRITE 1 x"), primary.ran)
     }
 
+    /** Guards against a write that takes effect twice, since its target may have run it before the connection broke. */
+    @Test
+    fun `a write whose connection breaks has an unknown outcome and is not sent again`() {
+        val session = fixture.open(caller)
+        primary.answersInMillis = 50
+        session.onStatement("w", write)
+        fixture.timers.advance(30)
+        val used = fixture.targets.links.single { link -> link.sent.any { it is TargetStatement.Run } }
+
+        used.disconnect()
+        fixture.timers.advance(1_000)
+
+        assertEquals(ErrorCode.OUTCOME_UNKNOWN, code(caller.answers.single()))
+        assertEquals(1, fixture.targets.links.flatMap { it.sent }.count { it is TargetStatement.Run })
+    }
+
     @Test
     fun `a write that runs while the proof of its primary expires has an unknown outcome`() {
         val session = fixture.open(caller)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/TargetTest.kt
@@ -5,10 +5,13 @@
 import dev.cardamomlane.engine.FakeTargets
 import dev.cardamomlane.engine.log.DecisionLog
 import dev.cardamomlane.engine.session.SessionState
+import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.statement.TargetStatement
+import dev.cardamomlane.engine.statement.TransactionState
 import dev.cardamomlane.engine.targetEntry
 import kotlin.test.Test
 import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 class TargetTest {
@@ -54,4 +57,31 @@
         assertNotNull(status)
         assertTrue(answered > 0)
     }
+
+    /** Guards against an answer out of place, after which each statement would get the answer to another one. */
+    @Test
+    fun `a connection on which an answer to nothing arrives is not used again`() {
+        val idle = Target(targetEntry("p", isPrimary = true), timers, targets, DecisionLog.None, UsesNothing)
+        idle.status("press") { _, _ -> }
+        timers.advance(100)
+        val connection = assertNotNull(idle.idle("press", NO_STATE))
+
+        connection.onAnswer(TargetAnswer(emptyList(), "digest", error = null, TransactionState.IDLE, position = null))
+
+        assertNull(idle.idle("press", NO_STATE))
+    }
+
+    private object UsesNothing : TargetListener {
+        override fun onCapacity(target: Target) = Unit
+
+        override fun onUnreachable(target: Target) = Unit
+
+        override fun onReadOnly(target: Target) = Unit
+
+        override fun onPosition(target: Target, sentAtMillis: Long, position: LogPosition) = Unit
+    }
+
+    private companion object {
+        val NO_STATE = SessionState(emptyMap(), emptyList())
+    }
 }
