engine tests: fake targets give each run a digest of its own, and may send an answer again

Cause: the fake target answered every statement with the digest "digest", own statements of the host included, and DEMOTE without rows. So no test could see that a caller got the answer to another statement. The tests that compared with "digest" now compare the text that ran under the digest, which is stricter. Measured: CallerSessionTest and ForwardingTest pass on the code as it is.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -29,9 +29,21 @@
     /** Called with each caller's statement and commit whose connection is closed before its answer is due. */
     var onCut: (FakeLink, TargetStatement) -> Unit = { _, _ -> }
 
+    /** Called with each answer that a target sends to a statement, the first time it does. */
+    var onAnswer: (FakeLink, TargetStatement, TargetAnswer) -> Unit = { _, _, _ -> }
+
+    /** The text of each caller's statement that ran, or `COMMIT`, by its digest. */
+    private val textsByDigest = HashMap<String, String>()
+
     /** Every connection that was dialed, in order. */
     val links = ArrayList<FakeLink>()
 
+    /** The text of the caller's statement that a target ran under [digest], or null when none gave that digest. */
+    fun textOf(digest: String?): String? = textsByDigest[digest]
+
+    private fun digestOf(target: FakeTarget, text: String): String =
+        "${target.id}.${textsByDigest.size}".also { textsByDigest[it] = text }
+
     fun target(id: String): FakeTarget = targetsById.getOrPut(id) { FakeTarget(id) }
 
     /** The network paths that lose everything, as `host/target`. */
@@ -67,12 +79,14 @@
             timers = timers,
             onRun = { ran, text -> onRun(ran, text) },
             onCommit = { committed, text -> onCommit(committed, text) },
+            newDigest = ::digestOf,
             isPartitioned = isPartitioned,
             host = host,
             whenAwake = whenAwake,
         )
         link.onBegin = { statement, millis -> onBegin(link, statement, millis) }
         link.onCut = { onCut(link, it) }
+        link.onAnswer = { statement, answer -> onAnswer(link, statement, answer) }
         links += link
         link.open()
         return link
@@ -118,6 +132,9 @@
     /** Every statement of a caller is refused with this code while it is set. */
     var refusesWith: ErrorCode? = null
 
+    /** Returns the code with which a statement is refused, own ones of the host included, or null to run it. */
+    var refuses: (TargetStatement) -> ErrorCode? = { null }
+
     /** How many of the next statements run but have their answer lost. */
     var lostAnswers = 0
 }
@@ -130,13 +147,16 @@
     private val timers: TimerService,
     private val onRun: (FakeTarget, String) -> Unit = { _, _ -> },
     private val onCommit: (FakeTarget, String) -> Unit = { _, _ -> },
+    private val newDigest: (FakeTarget, String) -> String = { ran, text -> "${ran.id} $text" },
     private val isPartitioned: () -> Boolean = { false },
     val host: String = "",
     private val whenAwake: (() -> Unit) -> Unit = { it() },
 ) : TargetLink {
     var onBegin: (TargetStatement, Long) -> Unit = { _, _ -> }
     var onCut: (TargetStatement) -> Unit = {}
+    var onAnswer: (TargetStatement, TargetAnswer) -> Unit = { _, _ -> }
     private val underWay = ArrayList<TargetStatement>()
+    private var lastDueMillis = 0L
     private var isClosed = false
     private var isClosedByHost = false
     private var state = TransactionState.IDLE
@@ -172,15 +192,16 @@
             underWay += statement
             onBegin(statement, millis)
         }
-        timers.after(millis) {
+        val nowMillis = timers.nowMillis()
+        lastDueMillis = maxOf(lastDueMillis, nowMillis + millis)
+        timers.after(lastDueMillis - nowMillis) {
             underWay -= statement
             if (!isClosed && !target.isSilent && !isPartitioned()) answer(statement)
         }
     }
 
     private fun answer(statement: TargetStatement) {
-        val refusal =
-            if (statement.hasCallersId()) target.refusals.removeFirstOrNull() ?: target.refusesWith else null
+        val refusal = target.refuses(statement) ?: nextRefusal(statement)
         if (refusal != null) return refuse(statement, refusal)
         val after = statement.after()
         if (after != null && target.position < after) return refuse(statement, ErrorCode.LAGGING)
@@ -191,12 +212,22 @@
             unserved += statement
             return
         }
-        reply(digest = "digest", rows = rows(statement))
+        reply(statement, digest = digest(statement), rows = rows(statement))
+    }
+
+    private fun nextRefusal(statement: TargetStatement): ErrorCode? =
+        if (statement.hasCallersId()) target.refusals.removeFirstOrNull() ?: target.refusesWith else null
+
+    private fun digest(statement: TargetStatement): String? = when (statement) {
+        is TargetStatement.Run -> newDigest(target, statement.text)
+        is TargetStatement.Execute -> newDigest(target, "${statement.name} ${statement.arguments}")
+        is TargetStatement.Commit -> newDigest(target, "COMMIT")
+        else -> null
     }
 
     private fun refuse(statement: TargetStatement, code: ErrorCode) {
         unserved += statement
-        reply(error = StatementError(code, "test"))
+        reply(statement, error = StatementError(code, "test"))
     }
 
     private fun run(statement: TargetStatement) {
@@ -248,14 +279,30 @@
         else -> false
     }
 
-    private fun rows(statement: TargetStatement): List<String> = if (statement is TargetStatement.Status) {
-        listOf("${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}")
-    } else {
-        emptyList()
+    private fun rows(statement: TargetStatement): List<String> = when (statement) {
+        is TargetStatement.Status, is TargetStatement.Demote ->
+            listOf("${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}")
+        else -> emptyList()
     }
 
-    private fun reply(rows: List<String> = emptyList(), digest: String? = null, error: StatementError? = null) {
+    private fun reply(
+        statement: TargetStatement,
+        rows: List<String> = emptyList(),
+        digest: String? = null,
+        error: StatementError? = null,
+    ) {
         val answer = TargetAnswer(rows, digest, error, state, target.position)
+        onAnswer(statement, answer)
+        deliver(answer)
+    }
+
+    /** Sends [answer] once more; with the present state and position if [isRebuilt]. */
+    fun repeat(answer: TargetAnswer, isRebuilt: Boolean = false) {
+        if (isClosed || target.isSilent || isPartitioned()) return
+        deliver(if (isRebuilt) answer.copy(state = state, position = target.position) else answer)
+    }
+
+    private fun deliver(answer: TargetAnswer) {
         whenAwake { if (!isClosedByHost) listener.onAnswer(answer) }
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -52,7 +52,7 @@
         fixture.ask(session, caller, write)
 
         assertEquals(TransactionState.IDLE, caller.answers.single().state)
-        assertEquals("digest", caller.answers.single().digest)
+        assertEquals("WRITE 1 x", fixture.targets.textOf(caller.answers.single().digest))
         assertNull(fixture.hosts[forwarder].group(DatabaseId("g")))
     }
 
@@ -89,7 +89,7 @@
         fixture.ask(session, caller, read)
         val answer = fixture.ask(session, caller, Statement.Commit)
 
-        assertEquals("digest", answer?.digest)
+        assertEquals("COMMIT", fixture.targets.textOf(answer?.digest))
         assertEquals(TransactionState.IDLE, answer?.state)
         assertEquals(listOf("WRITE 1 x", "READ 1", "COMMIT"), primary.ran)
         assertEquals(1, fixture.targets.links.count { link -> link.sent.any { it is TargetStatement.Begin } })
@@ -131,7 +131,7 @@
         fixture.timers.advance(400)
 
         assertNull(caller.answers.last().error)
-        assertEquals("digest", caller.answers.last().digest)
+        assertEquals("READ 1", fixture.targets.textOf(caller.answers.last().digest))
     }
 
     @Test
@@ -143,7 +143,7 @@
         val answer = fixture.ask(session, caller, read, millis = 450)
 
         assertNull(answer?.error)
-        assertEquals("digest", answer?.digest)
+        assertEquals("READ 1", fixture.targets.textOf(answer?.digest))
     }
 
     @Test
@@ -283,7 +283,7 @@
         val answer = alone.ask(session, caller, write)
 
         assertNull(answer?.error)
-        assertEquals("digest", answer?.digest)
+        assertEquals("WRITE 1 x", alone.targets.textOf(answer?.digest))
     }
 
     /** Guards against a forwarded transaction that goes on because only one of its two hosts knows the configuration. */
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -31,7 +31,7 @@
 
         val answer = fixture.ask(session, caller, write)
 
-        assertEquals("digest", answer?.digest)
+        assertEquals("WRITE 1 x", fixture.targets.textOf(answer?.digest))
         assertEquals(listOf("WRITE 1 x"), primary.ran)
         assertEquals(TransactionState.IDLE, answer?.state)
     }
@@ -183,7 +183,7 @@
         fixture.ask(session, caller, read)
         val answer = fixture.ask(session, caller, Statement.Commit)
 
-        assertEquals("digest", answer?.digest)
+        assertEquals("COMMIT", fixture.targets.textOf(answer?.digest))
         assertEquals(TransactionState.IDLE, answer?.state)
         val used = fixture.targets.links.filter { link -> link.sent.any { it is TargetStatement.Run } }
         assertEquals(1, used.size)
@@ -362,7 +362,7 @@
         val answer = fixture.ask(session, caller, read, millis = 900)
 
         assertNull(answer?.error)
-        assertEquals("digest", answer?.digest)
+        assertEquals("READ 1", fixture.targets.textOf(answer?.digest))
     }
 
     @Test
