target: a second answer of a target is not taken for the answer to the next statement

Callers saw: rows and digests of other statements, and BUSY or another refusal of a write that ran, with targets that send an answer again later. Cause: PooledConnection.onAnswer gave each answer to the oldest statement without one, so that one answer too many shifted all later ones of the connection. Second answers are dropped, also on an idle connection. An error that may be a second one closes the connection: a read runs again elsewhere, a write or a commit of writes has an unknown outcome, and another statement of a transaction aborts it. The guard unasked-answer is the same, at its new place.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -207,7 +207,8 @@
 
         private fun onConnectionLost() {
             if (isComplete) return
-            complete(StatementEnd.Lost)
+            val ambiguous = connection.ambiguousError?.code
+            if (ambiguous != null) onAmbiguous(ambiguous) else complete(StatementEnd.Lost)
             connection.close()
             if (isSent && statement.access == Access.WRITE) {
                 finish(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the target's answer was lost"))
@@ -216,6 +217,13 @@
             }
         }
 
+        private fun onAmbiguous(code: ErrorCode) {
+            services.log.request(statement.id, "ambiguous_error", "target", target.entry.id.value, "code", code)
+            if (code == ErrorCode.BUSY) target.backOff(BUSY_AVOID_MILLIS)
+            complete(if (code == ErrorCode.BUSY) StatementEnd.Refused else StatementEnd.Unmeasured)
+            work!!.avoid(target, services.timers.nowMillis() + avoidMillis(code))
+        }
+
         override fun abandon() {
             discard()
             finish(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the primary is being replaced"))
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
@@ -23,6 +23,7 @@
 ) : TargetLinkListener {
     private lateinit var link: TargetLink
     private val outstanding = ArrayDeque<Outstanding>()
+    private val order = AnswerOrder()
     private val values = HashMap<String, String>()
     private val prepared = HashSet<String>()
     internal val dialedAtMillis: Long = timers.nowMillis()
@@ -36,6 +37,23 @@
     internal var lastUsedMillis = dialedAtMillis
         private set
 
+    /** True once a statement on the connection had an error. */
+    internal val hasError: Boolean get() = order.hasError
+
+    /** True once a status query or a demotion was sent on the connection. */
+    internal var hasReported = false
+        private set
+
+    /** True while the target may have refused to begin the newest transaction. */
+    internal val isBeginDoubtful: Boolean get() = order.isBeginDoubtful
+
+    /** True when the connection has had so many answers that it is to be closed once it is free. */
+    internal val isWornOut: Boolean get() = order.isFull
+
+    /** The error that closed the connection, since it may have been a second answer; null for every other end. */
+    internal var ambiguousError: StatementError? = null
+        private set
+
     /** When the oldest statement without an answer was sent, or null when all are answered. */
     internal val oldestSentMillis: Long? get() = outstanding.firstOrNull()?.sentAtMillis
 
@@ -43,6 +61,12 @@
         link = dialer.dial(target.entry, customerName, this)
     }
 
+    internal fun meets(need: ConnectionNeed): Boolean = when (need) {
+        ConnectionNeed.ANY -> true
+        ConnectionNeed.NO_ERROR -> !order.hasError
+        ConnectionNeed.NO_TRANSACTION -> !order.hasError && !order.hasBegun
+    }
+
     /** The number of statements that bring the connection to [state], or much more when it must be reset first. */
     internal fun setupCost(state: SessionState): Int {
         val missing = state.values.count { (name, value) -> values[name] != value }
@@ -79,7 +103,8 @@
             return
         }
         lastUsedMillis = timers.nowMillis()
-        outstanding.addLast(Outstanding(lastUsedMillis, done))
+        if (statement is TargetStatement.Status || statement is TargetStatement.Demote) hasReported = true
+        outstanding.addLast(Outstanding(statement, lastUsedMillis, done))
         link.send(statement)
     }
 
@@ -128,9 +153,20 @@
     }
 
     override fun onAnswer(answer: TargetAnswer) {
-        val first = outstanding.removeFirstOrNull() ?: return close()
-        target.answered(first.sentAtMillis, answer)
-        first.done(answer)
+        when (order.judge(outstanding.firstOrNull()?.statement, answer)) {
+            AnswerVerdict.FIRST -> {
+                val first = outstanding.removeFirst()
+                target.answered(first.sentAtMillis, answer)
+                first.done(answer)
+            }
+            AnswerVerdict.DOUBTFUL -> outstanding.removeFirst().done(answer)
+            AnswerVerdict.REPETITION -> Unit
+            AnswerVerdict.AMBIGUOUS -> {
+                ambiguousError = answer.error
+                close()
+            }
+            AnswerVerdict.UNEXPECTED -> close()
+        }
     }
 
     override fun onClosed() {
@@ -155,7 +191,7 @@
         }
     }
 
-    private class Outstanding(val sentAtMillis: Long, val done: (TargetAnswer?) -> Unit)
+    private class Outstanding(val statement: TargetStatement, val sentAtMillis: Long, val done: (TargetAnswer?) -> Unit)
 
     private companion object {
         const val RESET_COST = 100
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -268,7 +268,7 @@
 
     internal fun released(connection: PooledConnection) {
         connection.isTaken = false
-        if (entry.isDraining || goneAtMillis != null) connection.close()
+        if (entry.isDraining || goneAtMillis != null || connection.isWornOut) connection.close()
         listener.onCapacity(this)
     }
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -281,7 +281,9 @@
 
     private fun rows(statement: TargetStatement): List<String> = when (statement) {
         is TargetStatement.Status, is TargetStatement.Demote ->
-            listOf("${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}")
+            listOf(
+                "${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}",
+            )
         else -> emptyList()
     }
 
