transaction: a write is sent only after a begin that certainly succeeded

Callers saw: a write committed on its own, outside its transaction, when an earlier answer to BEGIN came again before the target refused the new BEGIN. Cause: TransactionExecution took any success for the begin's. A transaction that starts with a write or its commit then begins anew on a connection without an earlier transaction. One that starts with a read goes on, and is aborted unless the read's answer shows an open transaction. Measured: of SecondAnswersTest, 'a write waits for a begin that certainly succeeded' failed on the code before ([WRITE 2 x] in the log of a target that had refused the begin), and passes now. 'a read that shows that its transaction was not begun aborts it' passes; it was written with the change and is shown red by its guard.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -200,7 +200,10 @@
         val choice = if (learnsCapacity) ReadChoice(work.kind, candidates, nowMillis) else null
         val usable = choice?.usable ?: candidates
         val costOf: (Target) -> Double = { target -> choice?.let { learnedCost(it, target) } ?: cost(target) }
-        val ready = usable.mapNotNull { target -> target.idle(work.customerName, work.state)?.let { target to it } }
+        val ready = usable
+            .mapNotNull { target ->
+                target.idle(work.customerName, work.state, work.connectionNeed)?.let { target to it }
+            }
             .filter { (target, _) -> target.hasSlot() }
             .minByOrNull { (target, connection) -> costOf(target) + connection.setupCost(work.state) }
         if (ready != null) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/Work.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/Work.kt
@@ -7,6 +7,7 @@
 import dev.cardamomlane.engine.fleet.GroupRecords
 import dev.cardamomlane.engine.session.SessionState
 import dev.cardamomlane.engine.statement.ErrorCode
+import dev.cardamomlane.engine.target.ConnectionNeed
 import dev.cardamomlane.engine.target.PooledConnection
 import dev.cardamomlane.engine.target.Target
 
@@ -36,6 +37,7 @@
     /** Until when each target is left out, after an attempt on it failed or went without an answer for long. */
     internal val avoidedUntilMillis = HashMap<TargetId, Long>(2)
     internal var attemptCount = 0
+    internal var connectionNeed = ConnectionNeed.ANY
     internal var dialedAtMillis = GroupRecords.NEVER
 
     /** True once the work needs no target any more. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -13,6 +13,7 @@
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.statement.TargetStatement
 import dev.cardamomlane.engine.statement.TransactionState
+import dev.cardamomlane.engine.target.ConnectionNeed
 import dev.cardamomlane.engine.target.PooledConnection
 import dev.cardamomlane.engine.target.StatementEnd
 import dev.cardamomlane.engine.target.Target
@@ -45,6 +46,9 @@
     private var hasWritten = false
     private var isCommitSent = false
 
+    /** True until an answer shows that the transaction is open, when the answer to its begin was doubtful. */
+    private var isBeginDoubtful = false
+
     override val target: Target get() = pinnedTarget!!
 
     override var isFailed = false
@@ -118,10 +122,12 @@
         connection.execute(TargetStatement.Begin(isReadOnly, after)) { answer ->
             starting = null
             target.finished(BEGIN, endOf(answer, tookMillis = null))
+            isBeginDoubtful = connection.isBeginDoubtful
             when {
                 answer == null -> onStartFailed(target, connection, work, isCounted = false)
                 !answer.isSuccess -> onBeginRefused(work, target, connection, answer)
                 isFinished -> connection.rollback(limitMillis = route.timeoutMillis)
+                isBeginDoubtful && step.statement?.access != Access.READ -> beginAnew(work, target, connection)
                 else -> {
                     work.end()
                     queued = null
@@ -145,10 +151,21 @@
     private fun onStartFailed(target: Target, connection: PooledConnection, work: Work, isCounted: Boolean = true) {
         starting = null
         if (isCounted) target.finished(BEGIN, endOf(answer = null, tookMillis = null))
+        if (connection.ambiguousError != null) {
+            work.avoid(target, services.timers.nowMillis() + BEGIN_REFUSED_AVOID_MILLIS)
+        }
         connection.close()
         if (!isFinished) group.resubmit(work)
     }
 
+    /** Begins on another connection: on this one a write might be committed on its own. */
+    private fun beginAnew(work: Work, target: Target, connection: PooledConnection) {
+        services.log.request(work.id, "begin_doubtful", "target", target.entry.id.value)
+        connection.close()
+        work.connectionNeed = ConnectionNeed.NO_TRANSACTION
+        group.resubmit(work)
+    }
+
     private fun onBeginRefused(work: Work, target: Target, connection: PooledConnection, answer: TargetAnswer) {
         connection.releaseOrClose(answer)
         services.log.request(work.id, "begin_denied", "target", target.entry.id.value, "code", answer.error?.code)
@@ -194,6 +211,8 @@
         if (currentStep !== step) return
         if (answer == null) return onConnectionLost()
         if (step.statement == null) return onCommitted(answer)
+        if (isBeginDoubtful && answer.state != TransactionState.OPEN) return abort("the target did not begin")
+        isBeginDoubtful = false
         if (answer.state != TransactionState.OPEN) isFailed = true
         deliver(Outcome.of(answer))
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -103,9 +103,16 @@
         return waitMillis > 0
     }
 
-    /** The idle connection of [customerName] that needs the least setup for [state], or null when none is idle. */
-    internal fun idle(customerName: String, state: SessionState): PooledConnection? = connections
-        .filter { it.isOpen && !it.isTaken && it.customerName == customerName }
+    /**
+     * The idle connection of [customerName] that meets [need] and takes the least setup for [state], or null when there
+     * is none.
+     */
+    internal fun idle(
+        customerName: String,
+        state: SessionState,
+        need: ConnectionNeed = ConnectionNeed.ANY,
+    ): PooledConnection? = connections
+        .filter { it.isOpen && !it.isTaken && it.customerName == customerName && it.meets(need) }
         .minByOrNull { it.setupCost(state) }
 
     /** The number of connections for [customerName] that are being opened, probes left out. */
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
@@ -14,6 +14,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 /** Targets that send an answer a second time, late. */
@@ -142,6 +143,28 @@
         assertEquals(ErrorCode.OUTCOME_UNKNOWN, caller.answers.last().error?.code)
     }
 
+    /** Guards against a write that is committed on its own, outside the transaction that its caller rolls back. */
+    @Test
+    fun `a write waits for a begin that certainly succeeded`() {
+        ask(Statement.Begin(isReadOnly = false))
+        ask(read(1))
+        ask(Statement.Rollback)
+        val begun = sentTo { it is TargetStatement.Begin }
+        primary.refuses = { if (it is TargetStatement.Begin) ErrorCode.BUSY else null }
+        ask(Statement.Begin(isReadOnly = false), millis = 1)
+        session.onStatement("w", write(2))
+        fixture.timers.advance(1)
+        begun.repeat()
+        fixture.timers.advance(8)
+        primary.refuses = { null }
+        fixture.timers.advance(200)
+
+        assertEquals(emptyList(), primary.log)
+        assertNull(caller.answers.last().error)
+        assertEquals("COMMIT", ran(ask(Statement.Commit)))
+        assertEquals(listOf("WRITE 2 x"), primary.log)
+    }
+
     /** Guards against a read outside its transaction, whose snapshot differs from that of the reads after it. */
     @Test
     fun `a read that ran outside a transaction which was not begun aborts it`() {
@@ -188,6 +211,24 @@
         assertNotEquals(link, sentTo("READ 1").link)
     }
 
+    /** Guards against a transaction whose reads see different moments, as it was never begun. */
+    @Test
+    fun `a read that shows that its transaction was not begun aborts it`() {
+        ask(Statement.Begin(isReadOnly = true))
+        ask(read(1))
+        ask(Statement.Rollback)
+        val begun = sentTo { it is TargetStatement.Begin }
+        primary.answersInMillis = 50
+        ask(Statement.Begin(isReadOnly = true), millis = 1)
+        session.onStatement("r", read(2))
+        fixture.timers.advance(1)
+        begun.repeat()
+        begun.link.repeat(sentTo("READ 1").answer.copy(digest = "of read 2", state = TransactionState.IDLE))
+        fixture.timers.advance(100)
+
+        assertEquals(ErrorCode.ABORTED, caller.answers.last().error?.code)
+    }
+
     /** Guards against an unknown outcome, for which callers give up, where a commit has no effect anyway. */
     @Test
     fun `a commit without writes is aborted when an earlier error of its connection comes again`() {
