target: a status query takes a connection that has had none before

Callers could see: a read that lacks acknowledged commits, since the second answer to an earlier status query was taken for the answer to the next one, and its position for the primary's of that moment. Cause: Target.control took any idle connection. Change: status queries and demotions take an idle connection that has had neither, or open one; when as many are open as may be, the least recently used idle one is closed for it. Measured: 'a position that comes again is not taken for the answer to a status query' of SecondAnswersTest failed on the code before (1:1 was received after the target had moved on), and passes now.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -127,14 +127,18 @@
         val nowMillis = timers.nowMillis()
         if (nowMillis < noDialUntilMillis) return false
         if (connections.size >= connectionShare) {
-            val leastRecentlyUsed = connections.filter { it.isOpen && !it.isTaken }.minByOrNull { it.lastUsedMillis }
-                ?: return false
-            leastRecentlyUsed.close()
+            val spare = leastUseful() ?: return false
+            spare.close()
         }
         add(customerName)
         return true
     }
 
+    /** The idle connection to give up first, or null when none is idle. */
+    private fun leastUseful(): PooledConnection? = connections
+        .filter { it.isOpen && !it.isTaken }
+        .minByOrNull { it.lastUsedMillis }
+
     private fun add(customerName: String): PooledConnection {
         val connection = PooledConnection(this, customerName, timers)
         connections += connection
@@ -177,7 +181,8 @@
     }
 
     /**
-     * Requests the target's status over an idle connection, or over a new one of [customerName].
+     * Requests the target's status over an idle connection that has had no such query, or over a new one of
+     * [customerName], so that a second answer to an earlier query is not taken for the status.
      *
      * Calls [done] once with the status, or with null when there is none in time.
      */
@@ -205,9 +210,12 @@
     }
 
     private fun control(customerName: String, statement: TargetStatement, done: (TargetAnswer?) -> Unit) {
-        val free = connections.firstOrNull { it.isOpen && !it.isTaken }
+        val free = connections.firstOrNull { it.isOpen && !it.isTaken && !it.hasReported }
         if (free != null) return controlOn(free, statement, done)
-        if (connections.size >= connectionShare + CONTROL_CONNECTIONS) return done(null)
+        if (connections.size >= connectionShare + CONTROL_CONNECTIONS) {
+            val spare = leastUseful() ?: return done(null)
+            spare.close()
+        }
         pendingControlStatements.addLast(PendingControlStatement(statement, timers.nowMillis(), done))
         add(customerName)
     }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
@@ -1,5 +1,7 @@
 package dev.cardamomlane.engine.session
 
+import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.engine.FakeCaller
 import dev.cardamomlane.engine.FakeLink
 import dev.cardamomlane.engine.HostFixture
@@ -14,6 +16,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
@@ -198,6 +201,23 @@
         assertEquals("READ 2", ran(ask(read(2))))
     }
 
+    /** Guards against reads that are taken for fresh by a position which the primary had before the query. */
+    @Test
+    fun `a position that comes again is not taken for the answer to a status query`() {
+        val target = assertNotNull(fixture.hosts[0].group(DatabaseId("g"))?.primary)
+        target.status("press") { _, _ -> }
+        fixture.timers.advance(100)
+        val status = sentTo { it is TargetStatement.Status }
+        primary.position = LogPosition(1, 9)
+        var received: LogPosition? = null
+        target.status("press") { found, _ -> received = found?.received }
+        fixture.timers.advance(1)
+        status.repeat()
+        fixture.timers.advance(100)
+
+        assertNotEquals(status.answer.position, received)
+    }
+
     /** Guards against a connection that is used on although it does not follow the protocol. */
     @Test
     fun `a success without a digest that answers nothing closes the connection`() {
