engine tests: digests of fake targets have six characters again

Cause: ControlTrafficTest bounds the bytes of forwarded answers, which hold the digest; digests that name their target and a count are longer than the constant one before, so the test failed (operation_answer above 26). Change: a digest is a count of six characters; the bound stays. Measured: ControlTrafficTest failed before and passes now.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -41,8 +41,9 @@
     /** The text of the caller's statement that a target ran under [digest], or null when none gave that digest. */
     fun textOf(digest: String?): String? = textsByDigest[digest]
 
-    private fun digestOf(target: FakeTarget, text: String): String =
-        "${target.id}.${textsByDigest.size}".also { textsByDigest[it] = text }
+    /** A new digest, of one length, since tests bound the bytes of messages that hold one. */
+    private fun digestOf(text: String): String =
+        textsByDigest.size.toString(DIGEST_RADIX).padStart(DIGEST_LENGTH, '0').also { textsByDigest[it] = text }
 
     fun target(id: String): FakeTarget = targetsById.getOrPut(id) { FakeTarget(id) }
 
@@ -103,6 +104,11 @@
             connectionCount = 0,
         )
     }
+
+    private companion object {
+        const val DIGEST_RADIX = 36
+        const val DIGEST_LENGTH = 6
+    }
 }
 
 /**
@@ -147,7 +153,7 @@
     private val timers: TimerService,
     private val onRun: (FakeTarget, String) -> Unit = { _, _ -> },
     private val onCommit: (FakeTarget, String) -> Unit = { _, _ -> },
-    private val newDigest: (FakeTarget, String) -> String = { ran, text -> "${ran.id} $text" },
+    private val newDigest: (String) -> String = { it },
     private val isPartitioned: () -> Boolean = { false },
     val host: String = "",
     private val whenAwake: (() -> Unit) -> Unit = { it() },
@@ -219,9 +225,9 @@
         if (statement.hasCallersId()) target.refusals.removeFirstOrNull() ?: target.refusesWith else null
 
     private fun digest(statement: TargetStatement): String? = when (statement) {
-        is TargetStatement.Run -> newDigest(target, statement.text)
-        is TargetStatement.Execute -> newDigest(target, "${statement.name} ${statement.arguments}")
-        is TargetStatement.Commit -> newDigest(target, "COMMIT")
+        is TargetStatement.Run -> newDigest(statement.text)
+        is TargetStatement.Execute -> newDigest("${statement.name} ${statement.arguments}")
+        is TargetStatement.Commit -> newDigest("COMMIT")
         else -> null
     }
 
