group: work that may write takes connections without an earlier error

Callers would see: 'outcome unknown' for a write that its target refused, since an error that equals an earlier one of the connection may be a second answer. Under overload equal refusals are common. Change: writes and transactions that may write take an idle connection without an error, or one is opened; when the share is used up, an idle connection with an error is closed for it first. While none can be opened, any will do. Reads use the others.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/Work.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/Work.kt
@@ -37,7 +37,7 @@
     /** Until when each target is left out, after an attempt on it failed or went without an answer for long. */
     internal val avoidedUntilMillis = HashMap<TargetId, Long>(2)
     internal var attemptCount = 0
-    internal var connectionNeed = ConnectionNeed.ANY
+    internal var connectionNeed = if (needsPrimary) ConnectionNeed.NO_ERROR else ConnectionNeed.ANY
     internal var dialedAtMillis = GroupRecords.NEVER
 
     /** True once the work needs no target any more. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -105,23 +105,28 @@
 
     /**
      * The idle connection of [customerName] that meets [need] and takes the least setup for [state], or null when there
-     * is none.
+     * is none. While none can be opened, one with an error will do instead.
      */
     internal fun idle(
         customerName: String,
         state: SessionState,
         need: ConnectionNeed = ConnectionNeed.ANY,
-    ): PooledConnection? = connections
-        .filter { it.isOpen && !it.isTaken && it.customerName == customerName && it.meets(need) }
-        .minByOrNull { it.setupCost(state) }
+    ): PooledConnection? {
+        val mayDial = timers.nowMillis() >= noDialUntilMillis
+        val least = if (need == ConnectionNeed.NO_ERROR && !mayDial) ConnectionNeed.ANY else need
+        return connections
+            .filter { it.isOpen && !it.isTaken && it.customerName == customerName && it.meets(least) }
+            .minByOrNull { it.setupCost(state) }
+    }
 
     /** The number of connections for [customerName] that are being opened, probes left out. */
     internal fun dialingCount(customerName: String): Int =
         connections.count { !it.isOpen && it.customerName == customerName && it !== probe }
 
     /**
-     * Starts to open a connection for [customerName]. When the share is used up, closes the least recently used idle
-     * connection first. Returns false when no connection can be opened now.
+     * Starts to open a connection for [customerName]. When the share is used up, closes an idle connection first, one
+     * with an error if there is one, and else the least recently used one. Returns false when no connection can be
+     * opened now.
      */
     internal fun dial(customerName: String): Boolean {
         val nowMillis = timers.nowMillis()
@@ -137,7 +142,7 @@
     /** The idle connection to give up first, or null when none is idle. */
     private fun leastUseful(): PooledConnection? = connections
         .filter { it.isOpen && !it.isTaken }
-        .minByOrNull { it.lastUsedMillis }
+        .minWithOrNull(compareBy<PooledConnection> { !it.hasError }.thenBy { it.lastUsedMillis })
 
     private fun add(customerName: String): PooledConnection {
         val connection = PooledConnection(this, customerName, timers)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
@@ -263,6 +263,15 @@
         assertEquals(ErrorCode.ABORTED, caller.answers.last().error?.code)
     }
 
+    /** Guards against writes of unknown outcome while targets are busy, though the target says that it ran nothing. */
+    @Test
+    fun `a write that is refused twice runs on connections without an earlier error`() {
+        primary.refusals += listOf(ErrorCode.BUSY, ErrorCode.BUSY, ErrorCode.BUSY)
+
+        assertEquals("WRITE 1 x", ran(ask(write(1), millis = 400)))
+        assertEquals(listOf("WRITE 1 x"), primary.log)
+    }
+
     /** Guards against a connection that never gets its answer when what it remembers of earlier ones is dropped. */
     @Test
     fun `a connection is replaced before it has had too many answers to remember`() {
