target: answers that are not certainly first ones are counted and logged

Measured: 'answers that are not certainly first ones are counted by kind' passes; nothing counted them before.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -38,6 +38,7 @@
 import dev.cardamomlane.engine.target.TargetDialer
 import dev.cardamomlane.engine.target.TargetEntry
 import dev.cardamomlane.engine.target.TargetList
+import dev.cardamomlane.engine.target.UncertainAnswer
 import dev.cardamomlane.engine.zone.KnownDrains
 import dev.cardamomlane.engine.zone.WarmUpShare
 import dev.cardamomlane.engine.zone.ZoneDrains
@@ -213,6 +214,9 @@
     public fun warmingTargetCount(): Int =
         groups.values.sumOf { group -> group.targets.count { it.zoneGate.isWarmingUp(timers.nowMillis()) } }
 
+    /** How many answers of [kind] this host has received from targets. */
+    public fun uncertainAnswerCount(kind: UncertainAnswer): Long = groups.values.sumOf { it.uncertainAnswerCount(kind) }
+
     private fun zonesOfTargets(): Set<String> = targetList.entries.mapTo(HashSet()) { it.zone }
 
     /** Each datagram carries the drains, so that hosts which the store does not inform learn of them in time. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -12,6 +12,7 @@
 import dev.cardamomlane.engine.target.TargetDialer
 import dev.cardamomlane.engine.target.TargetEntry
 import dev.cardamomlane.engine.target.TargetListener
+import dev.cardamomlane.engine.target.UncertainAnswer
 import dev.cardamomlane.engine.zone.ZoneRules
 
 /**
@@ -37,6 +38,7 @@
         TargetRoster(id, timers, dialer, records, log, listener = this, learnedZone = zone.takeIf { learnsCapacity })
     private val queue = WorkQueue()
     private val positions = PrimaryPositions()
+    private val uncertainAnswers = UncertainAnswerLog(id, timers, log)
     private var probedAtMillis = GroupRecords.NEVER
     private var isStartingQueued = false
     private var rules = ZoneRules.OFF
@@ -273,6 +275,11 @@
         if (target === primary && nowMillis - probedAtMillis >= PROBE_INTERVAL_MILLIS) probe(target, nowMillis)
     }
 
+    override fun onUncertainAnswer(target: Target, kind: UncertainAnswer): Unit = uncertainAnswers.add(target, kind)
+
+    /** How many answers of [kind] the targets have sent. */
+    public fun uncertainAnswerCount(kind: UncertainAnswer): Long = uncertainAnswers.count(kind)
+
     override fun onPosition(target: Target, sentAtMillis: Long, position: LogPosition) {
         if (target !== primary || target.replicaSinceMillis != null || !isRecordStable(timers.nowMillis())) return
         val record = records.record(id)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
@@ -159,16 +159,25 @@
                 target.answered(first.sentAtMillis, answer)
                 first.done(answer)
             }
-            AnswerVerdict.DOUBTFUL -> outstanding.removeFirst().done(answer)
-            AnswerVerdict.REPETITION -> Unit
+            AnswerVerdict.DOUBTFUL -> onDoubtful(outstanding.removeFirst(), answer)
+            AnswerVerdict.REPETITION -> target.answeredUncertainly(UncertainAnswer.REPETITION)
             AnswerVerdict.AMBIGUOUS -> {
+                target.answeredUncertainly(UncertainAnswer.AMBIGUOUS)
                 ambiguousError = answer.error
                 close()
             }
-            AnswerVerdict.UNEXPECTED -> close()
+            AnswerVerdict.UNEXPECTED -> {
+                target.answeredUncertainly(UncertainAnswer.UNEXPECTED)
+                close()
+            }
         }
     }
 
+    private fun onDoubtful(first: Outstanding, answer: TargetAnswer) {
+        if (first.statement is TargetStatement.Begin) target.answeredUncertainly(UncertainAnswer.DOUBTFUL_BEGIN)
+        first.done(answer)
+    }
+
     override fun onClosed() {
         if (isClosed) return
         isClosed = true
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -277,6 +277,8 @@
         listener.onPosition(this, sentAtMillis, position)
     }
 
+    internal fun answeredUncertainly(kind: UncertainAnswer): Unit = listener.onUncertainAnswer(this, kind)
+
     private fun recordContact(sentAtMillis: Long) {
         lastAnswerAtMillis = timers.nowMillis()
         val since = unreachableSinceMillis ?: return
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetListener.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/TargetListener.kt
@@ -13,6 +13,9 @@
     /** The target refused a write because it is a replica. */
     public fun onReadOnly(target: Target)
 
+    /** The target sent an answer of [kind], which is not certainly the first one to its statement. */
+    public fun onUncertainAnswer(target: Target, kind: UncertainAnswer): Unit = Unit
+
     /** The target answered a request that was sent at [sentAtMillis]; its log ended at [position]. */
     public fun onPosition(target: Target, sentAtMillis: Long, position: LogPosition)
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
@@ -12,6 +12,7 @@
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.statement.TargetStatement
 import dev.cardamomlane.engine.statement.TransactionState
+import dev.cardamomlane.engine.target.UncertainAnswer
 import dev.cardamomlane.engine.targetEntry
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -82,6 +83,21 @@
         assertEquals(1, primary.log.size)
     }
 
+    /** Guards against targets that send answers twice, or at random, without anybody noticing. */
+    @Test
+    fun `answers that are not certainly first ones are counted by kind`() {
+        ask(read(1))
+        sentTo("READ 1").repeat()
+        sentTo("READ 1").repeat()
+        primary.refusals += listOf(ErrorCode.FAILED, ErrorCode.FAILED)
+        ask(read(2))
+        ask(read(3))
+        sentTo("READ 3").link.repeat(sentTo("READ 1").answer.copy(digest = "of nothing"))
+        val counts = UncertainAnswer.entries.map { fixture.hosts[0].uncertainAnswerCount(it) }
+
+        assertEquals(listOf(2L, 1L, 1L, 0L), counts)
+    }
+
     /** Guards against connections that are closed, at a price, whenever a target repeats an answer. */
     @Test
     fun `an idle connection on which an answer comes again stays open`() {
