--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -103,31 +103,47 @@
         return waitMillis > 0
     }
 
-    /** The idle connection of [customerName] that needs the least setup for [state], or null when none is idle. */
-    internal fun idle(customerName: String, state: SessionState): PooledConnection? = connections
-        .filter { it.isOpen && !it.isTaken && it.customerName == customerName }
-        .minByOrNull { it.setupCost(state) }
+    /**
+     * The idle connection of [customerName] that meets [need] and takes the least setup for [state], or null when there
+     * is none. While none can be opened, one with an error will do instead.
+     */
+    internal fun idle(
+        customerName: String,
+        state: SessionState,
+        need: ConnectionNeed = ConnectionNeed.ANY,
+    ): PooledConnection? {
+        val mayDial = timers.nowMillis() >= noDialUntilMillis
+        val least = if (need == ConnectionNeed.NO_ERROR && !mayDial) ConnectionNeed.ANY else need
+        return connections
+            .filter { it.isOpen && !it.isTaken && it.customerName == customerName && it.meets(least) }
+            .minByOrNull { it.setupCost(state) }
+    }
 
     /** The number of connections for [customerName] that are being opened, probes left out. */
     internal fun dialingCount(customerName: String): Int =
         connections.count { !it.isOpen && it.customerName == customerName && it !== probe }
 
     /**
-     * Starts to open a connection for [customerName]. When the share is used up, closes the least recently used idle
-     * connection first. Returns false when no connection can be opened now.
+     * Starts to open a connection for [customerName]. When the share is used up, closes an idle connection first, one
+     * with an error if there is one, and else the least recently used one. Returns false when no connection can be
+     * opened now.
      */
     internal fun dial(customerName: String): Boolean {
         val nowMillis = timers.nowMillis()
         if (nowMillis < noDialUntilMillis) return false
         if (connections.size >= connectionShare) {
-            val leastRecentlyUsed = connections.filter { it.isOpen && !it.isTaken }.minByOrNull { it.lastUsedMillis }
-                ?: return false
-            leastRecentlyUsed.close()
+            val spare = leastUseful() ?: return false
+            spare.close()
         }
         add(customerName)
         return true
     }
 
+    /** The idle connection to give up first, or null when none is idle. */
+    private fun leastUseful(): PooledConnection? = connections
+        .filter { it.isOpen && !it.isTaken }
+        .minWithOrNull(compareBy<PooledConnection> { !it.hasError }.thenBy { it.lastUsedMillis })
+
     private fun add(customerName: String): PooledConnection {
         val connection = PooledConnection(this, customerName, timers)
         connections += connection
@@ -170,7 +186,8 @@
     }
 
     /**
-     * Requests the target's status over an idle connection, or over a new one of [customerName].
+     * Requests the target's status over an idle connection that has had no such query, or over a new one of
+     * [customerName], so that a second answer to an earlier query is not taken for the status.
      *
      * Calls [done] once with the status, or with null when there is none in time.
      */
@@ -198,9 +215,12 @@
     }
 
     private fun control(customerName: String, statement: TargetStatement, done: (TargetAnswer?) -> Unit) {
-        val free = connections.firstOrNull { it.isOpen && !it.isTaken }
+        val free = connections.firstOrNull { it.isOpen && !it.isTaken && !it.hasReported }
         if (free != null) return controlOn(free, statement, done)
-        if (connections.size >= connectionShare + CONTROL_CONNECTIONS) return done(null)
+        if (connections.size >= connectionShare + CONTROL_CONNECTIONS) {
+            val spare = leastUseful() ?: return done(null)
+            spare.close()
+        }
         pendingControlStatements.addLast(PendingControlStatement(statement, timers.nowMillis(), done))
         add(customerName)
     }
@@ -268,7 +288,7 @@
 
     internal fun released(connection: PooledConnection) {
         connection.isTaken = false
-        if (entry.isDraining || goneAtMillis != null) connection.close()
+        if (entry.isDraining || goneAtMillis != null || connection.isWornOut) connection.close()
         listener.onCapacity(this)
     }
 
