Prepared plans get names of the connection's own at targets

Callers saw an execution run another plan, another item or nothing: a plan's name at targets was "r_" or "w_" and its shape. A shape is the last field of its statement and may hold blanks, a name is a field in the middle. So the shape "q WRITE x" of a read was prepared as a write, "a READ b" replaced the plan "a", the words after the first blank of a shape were taken for the item, and a name was as long as its shape.

A plan is now known by its value. Each connection numbers its plans, and gives no number out again, also not after a reset. Values and plans count once the target has confirmed them, and a connection on which one was refused is closed. A forwarded execution carries its plan and needs no name in the serving host's session.

The fake target reads names and shapes as fields of a line now.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -71,14 +71,14 @@
 
     private fun run(open: CallerSession, request: OperationRequest) {
         request.values?.let { open.adopt(it) }
-        open.onStatement(request.id, statement(open, request))
+        open.onStatement(request.id, statement(request))
     }
 
-    private fun statement(open: CallerSession, request: OperationRequest): Statement {
+    private fun statement(request: OperationRequest): Statement {
         if (request.kind == StepKind.COMMIT) return Statement.Commit
         val access = if (request.kind == StepKind.READ) Access.READ else Access.WRITE
         val shape = request.shape ?: return Statement.Run(access, request.text)
-        return Statement.Execute(open.adopt(PreparedPlan(access, shape)), request.text)
+        return Statement.ExecutePlan(PreparedPlan(access, shape), request.text)
     }
 
     /** Ends the operation without an answer: a transaction is rolled back, a statement in the queue is dropped. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -68,12 +68,6 @@
         lastCommit = commit
     }
 
-    /** Makes [plan] known, and returns the name by which it can be executed. */
-    internal fun adopt(plan: PreparedPlan): String {
-        prepared[plan.targetName] = plan
-        return plan.targetName
-    }
-
     /** Refuses the session with [ErrorCode.BUSY] and [text]. */
     internal fun refuse(text: String) {
         isClosed = true
@@ -200,9 +194,10 @@
                 if (plan == null) {
                     fail(incoming, ErrorCode.UNKNOWN_STATEMENT, "no prepared statement ${statement.name}")
                 } else {
-                    run(incoming, ResolvedStatement(incoming.id, plan.access, statement.arguments, plan), open)
+                    execute(incoming, plan, statement.arguments, open)
                 }
             }
+            is Statement.ExecutePlan -> execute(incoming, statement.plan, statement.arguments, open)
             else -> failMalformed(incoming, "the statement is not allowed here")
         }
     }
@@ -219,6 +214,15 @@
         )
     }
 
+    private fun execute(
+        incoming: IncomingStatement,
+        plan: PreparedPlan,
+        arguments: String,
+        open: SessionTransaction?,
+    ) {
+        run(incoming, ResolvedStatement(incoming.id, plan.access, arguments, plan), open)
+    }
+
     private fun run(incoming: IncomingStatement, statement: ResolvedStatement, open: SessionTransaction?) {
         if (open != null) {
             open.run(statement, stateFor(statement)) { outcome -> answer(incoming, outcome, open.route) }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -129,7 +129,7 @@
             isSent = true
             wasAnySent = true
             if (statement.access == Access.WRITE) group.writes.sent(this) else scheduleHedge()
-            connection.execute(statement.toTarget(after)) { answer -> onAnswer(answer) }
+            connection.execute(statement.toTarget(connection, after)) { answer -> onAnswer(answer) }
         }
 
         private fun scheduleHedge() {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -183,7 +183,8 @@
         } else if (statement.access == Access.WRITE) {
             hasWritten = true
         }
-        connection.execute(statement?.toTarget(after = null) ?: TargetStatement.Commit(step.id)) { answer ->
+        val sent = statement?.toTarget(connection, after = null) ?: TargetStatement.Commit(step.id)
+        connection.execute(sent) { answer ->
             target.finished(kind, endOf(answer, tookMillis = (services.timers.nowMillis() - sentAtMillis).toDouble()))
             if (statement == null) group.writes.resolved(this)
             onAnswer(step, answer)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/Statement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/Statement.kt
@@ -21,6 +21,9 @@
     /** Runs the prepared statement [name] with [arguments]. */
     public data class Execute(val name: String, val arguments: String) : Statement
 
+    /** Runs [plan], which the session on the host that has the caller has prepared, with [arguments]. */
+    public data class ExecutePlan(val plan: PreparedPlan, val arguments: String) : Statement
+
     /** Sets a session value. */
     public data class SetValue(val name: String, val value: String) : Statement
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/TargetStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/TargetStatement.kt
@@ -27,8 +27,11 @@
     /** Sets a session value. */
     public data class SetValue(val name: String, val value: String) : TargetStatement
 
-    /** Prepares [plan] under its [targetName][PreparedPlan.targetName]. */
-    public data class Prepare(val plan: PreparedPlan) : TargetStatement
+    /** Prepares [plan] as [name], a word without blanks. */
+    public data class Prepare(val name: String, val plan: PreparedPlan) : TargetStatement
+
+    /** Drops the plan that is prepared as [name]. */
+    public data class Close(val name: String) : TargetStatement
 
     /** Drops all session values and prepared statements of the connection. */
     public data object Reset : TargetStatement
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.session.SessionState
+import dev.cardamomlane.engine.statement.PreparedPlan
 import dev.cardamomlane.engine.statement.StatementError
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.statement.TargetStatement
@@ -23,8 +24,7 @@
 ) : TargetLinkListener {
     private lateinit var link: TargetLink
     private val outstanding = ArrayDeque<Outstanding>()
-    private val values = HashMap<String, String>()
-    private val prepared = HashSet<String>()
+    private val current = ConnectionState()
     internal val dialedAtMillis: Long = timers.nowMillis()
     internal var isOpen = false
         private set
@@ -44,32 +44,30 @@
     }
 
     /** The number of statements that bring the connection to [state], or much more when it must be reset first. */
-    internal fun setupCost(state: SessionState): Int {
-        val missing = state.values.count { (name, value) -> values[name] != value }
-        val hasOthers = values.keys.any { it !in state.values }
-        return if (hasOthers) RESET_COST + state.values.size else missing
-    }
+    internal fun setupCost(state: SessionState): Int = current.setupCost(state)
+
+    /** The name of [plan], which the last [prepareFor] has prepared. */
+    internal fun nameOf(plan: PreparedPlan): String = current.nameOf(plan)
 
     /**
      * Sets the session values and prepares the plans of [state]; calls [done] with true when all of that succeeded.
-     *
-     * Session values that are not in [state] are dropped by a reset, which drops the prepared statements too.
+     * Otherwise the connection is closed, since it is not known what is set on it.
      */
     public fun prepareFor(state: SessionState, done: (Boolean) -> Unit) {
-        val steps = ArrayList<TargetStatement>()
-        if (values.keys.any { it !in state.values }) {
-            steps += TargetStatement.Reset
-            values.clear()
-            prepared.clear()
-        }
-        for ((name, value) in state.values) {
-            if (values[name] != value) steps += TargetStatement.SetValue(name, value)
-        }
-        values.putAll(state.values)
-        for (plan in state.plans) {
-            if (prepared.add(plan.targetName)) steps += TargetStatement.Prepare(plan)
+        val steps = current.stepsTo(state)
+        if (steps.isEmpty()) return done(true)
+        var remaining = steps.size
+        var isPrepared = true
+        for (step in steps) {
+            execute(step) { answer ->
+                if (answer?.isSuccess == true) current.onSuccess(step) else isPrepared = false
+                remaining--
+                if (remaining == 0) {
+                    if (!isPrepared) close()
+                    done(isPrepared)
+                }
+            }
         }
-        executeAll(steps, done)
     }
 
     /** Sends [statement]; calls [done] with the whole answer, or with null when the connection ends before it. */
@@ -142,22 +140,5 @@
         for (statement in unanswered) statement.done(null)
     }
 
-    private fun executeAll(steps: List<TargetStatement>, done: (Boolean) -> Unit) {
-        if (steps.isEmpty()) return done(true)
-        var remaining = steps.size
-        var isPrepared = true
-        for (step in steps) {
-            execute(step) { answer ->
-                isPrepared = isPrepared && answer?.isSuccess == true
-                remaining--
-                if (remaining == 0) done(isPrepared)
-            }
-        }
-    }
-
     private class Outstanding(val sentAtMillis: Long, val done: (TargetAnswer?) -> Unit)
-
-    private companion object {
-        const val RESET_COST = 100
-    }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.StatementError
 import dev.cardamomlane.engine.statement.TargetAnswer
@@ -109,6 +110,9 @@
     var durationMillis: (TargetStatement) -> Long = { answersInMillis }
     val ran = ArrayList<String>()
 
+    /** The prepared statements that ran, in order. */
+    val executed = ArrayList<ExecutedPlan>()
+
     /** The committed writes, in the order of the log. */
     val log = ArrayList<String>()
 
@@ -118,6 +122,9 @@
     /** Every statement of a caller is refused with this code while it is set. */
     var refusesWith: ErrorCode? = null
 
+    /** Decides which statements of the host itself are refused. */
+    var refusesOwn: (TargetStatement) -> Boolean = { false }
+
     /** How many of the next statements run but have their answer lost. */
     var lostAnswers = 0
 }
@@ -138,13 +145,17 @@
     var onCut: (TargetStatement) -> Unit = {}
     private val underWay = ArrayList<TargetStatement>()
     private var isClosed = false
-    private var isClosedByHost = false
+
+    /** True once the host has closed the connection. */
+    var isClosedByHost = false
+        private set
     private var state = TransactionState.IDLE
     private val openWrites = ArrayList<String>()
 
     /** True while a transaction is open at the target. */
     val isInTransaction: Boolean get() = !isClosed && state != TransactionState.IDLE
     val values = HashMap<String, String>()
+    val plans = FakePlans()
     val sent = ArrayList<TargetStatement>()
 
     /** The statements that were refused or have their answers lost. */
@@ -181,10 +192,17 @@
     private fun answer(statement: TargetStatement) {
         val refusal =
             if (statement.hasCallersId()) target.refusals.removeFirstOrNull() ?: target.refusesWith else null
+        if (!statement.hasCallersId() && target.refusesOwn(statement)) return refuse(statement, ErrorCode.FAILED)
         if (refusal != null) return refuse(statement, refusal)
         val after = statement.after()
         if (after != null && target.position < after) return refuse(statement, ErrorCode.LAGGING)
         if (statement.needsPrimary() && !target.isPrimary) return refuse(statement, ErrorCode.READ_ONLY)
+        if (statement is TargetStatement.Execute && statement.executed() == null) {
+            return refuse(statement, ErrorCode.UNKNOWN_STATEMENT)
+        }
+        if (statement is TargetStatement.Prepare && !plans.prepare(statement.name, statement.plan)) {
+            return refuse(statement, ErrorCode.MALFORMED)
+        }
         run(statement)
         if (statement.hasCallersId() && target.lostAnswers > 0) {
             target.lostAnswers--
@@ -202,7 +220,7 @@
     private fun run(statement: TargetStatement) {
         when (statement) {
             is TargetStatement.Run -> runText(statement.text)
-            is TargetStatement.Execute -> runText("${statement.name} ${statement.arguments}")
+            is TargetStatement.Execute -> runPlan(checkNotNull(statement.executed()))
             is TargetStatement.Begin -> state = TransactionState.OPEN
             is TargetStatement.Commit -> {
                 target.ran += "COMMIT"
@@ -215,12 +233,25 @@
                 openWrites.clear()
             }
             is TargetStatement.SetValue -> values[statement.name] = statement.value
-            is TargetStatement.Reset -> values.clear()
+            is TargetStatement.Close -> plans.close(statement.name)
+            is TargetStatement.Reset -> {
+                values.clear()
+                plans.clear()
+            }
             is TargetStatement.Demote -> target.isPrimary = target.isPrimary && target.position.term >= statement.term
             else -> Unit
         }
     }
 
+    private fun runPlan(executed: ExecutedPlan) {
+        target.executed += executed
+        runText(
+            (if (executed.plan.access == Access.READ) "r_" else "w_") + "${executed.plan.shape} ${executed.arguments}",
+        )
+    }
+
+    private fun TargetStatement.Execute.executed(): ExecutedPlan? = plans.find(name, arguments)
+
     private fun runText(text: String) {
         target.ran += text
         onRun(target, text)
@@ -242,7 +273,7 @@
 
     private fun TargetStatement.needsPrimary(): Boolean = when (this) {
         is TargetStatement.Run -> isWrite(text)
-        is TargetStatement.Execute -> isWrite(name)
+        is TargetStatement.Execute -> executed()?.plan?.access == Access.WRITE
         is TargetStatement.Begin -> !isReadOnly
         is TargetStatement.Commit -> openWrites.isNotEmpty()
         else -> false
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.forward
 
 import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.engine.ExecutedPlan
 import dev.cardamomlane.engine.FakeCaller
 import dev.cardamomlane.engine.HostFixture
 import dev.cardamomlane.engine.session.CallerSession
@@ -80,6 +81,24 @@
         assertTrue(fixture.targets.links.any { it.values == mapOf("a" to "b") })
     }
 
+    /** Guards against a plan or a value that changes on the way to the serving host. */
+    @Test
+    fun `plans and session values of any character run at another host as the caller sent them`() {
+        val all = (0..255).joinToString("") { it.toChar().toString() }
+        val session = open()
+        for (value in listOf("x", "x ", "", all, "a b")) {
+            for (plan in Access.entries.map { PreparedPlan(it, "q WRITE $value") }) {
+                primary.executed.clear()
+                fixture.ask(session, caller, Statement.SetValue("name$all", value))
+                fixture.ask(session, caller, Statement.Prepare("s$all", plan))
+                fixture.ask(session, caller, Statement.Execute("s$all", "item $value"))
+
+                assertEquals(listOf(ExecutedPlan(plan, "item $value")), primary.executed)
+                assertTrue(fixture.targets.links.any { it.values == mapOf("name$all" to value) })
+            }
+        }
+    }
+
     @Test
     fun `a transaction runs on one connection and commits`() {
         val session = open()
