An answer too long for one message between hosts is sent in parts

An answer whose rows took more than 8 MiB ended the connection between the two hosts, as the receiver's framing refuses a longer message. Reads were then run again at further hosts with the same end, until they timed out; every other operation on the connection was lost with it, so that writes of other callers got "outcome unknown" and transactions were aborted.

The serving host now sends such an answer in parts of at most 1 MiB of rows or one row. The part that ends it holds the answer itself, so a host of an earlier version, which ignores parts, sees no answer rather than some of its rows. The longest message is a constant of the codec, which the framing and the fake links between hosts use.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
@@ -73,10 +73,23 @@
         pingedAtMillis = null
         isSilent = false
         if (message.isLeaving) events.onLeaving(this)
-        val answer = message.answer ?: return
+        message.part?.let { onPart(it, message.hint) }
+        message.answer?.let { onAnswer(it, message.hint) }
+    }
+
+    private fun onPart(part: AnswerPart, hint: SendHint?) {
+        val rows = operations[part.operation]?.rows ?: return
+        rows += part.rows
+        val answer = part.answer ?: return
+        val whole = answer.copy(rows = rows.toList())
+        rows.clear()
+        onAnswer(whole, hint)
+    }
+
+    private fun onAnswer(answer: OperationAnswer, hint: SendHint?) {
         val waiting = operations[answer.operation] ?: return
         waiting.sentAtMillis = null
-        waiting.listener.onHint(message.hint)
+        waiting.listener.onHint(hint)
         waiting.listener.onAnswer(answer)
     }
 
@@ -136,6 +149,9 @@
     private class Waiting(val listener: OperationListener) {
         /** When the step without an answer was sent, or null when there is none. */
         var sentAtMillis: Long? = null
+
+        /** The rows of an answer of which more parts follow. */
+        val rows = ArrayList<String>(0)
     }
 
     private companion object {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
@@ -5,13 +5,14 @@
 import kotlinx.serialization.cbor.CborLabel
 
 /**
- * A message on a connection between two hosts. At most one of [request] and [answer] is set.
+ * A message on a connection between two hosts. At most one of [request], [answer] and [part] is set.
  *
  * @property ping asks for a message with [pong] set, to see whether the connection still carries messages
  * @property isLeaving true when the sender takes no new operations
  * @property refusedByHintCount with a [request] that starts an operation, how many operations of the same customer and
  *   priority the sender has refused by a hint since the last one
- * @property hint with an [answer], how many operations of the same customer and priority to send; null for all
+ * @property hint with an [answer] or its last [part], how many operations of the same customer and priority to send; null for all
+ * @property part a part of an answer that is too long for one message
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -23,4 +24,5 @@
     @CborLabel(5) val isLeaving: Boolean = false,
     @CborLabel(6) val refusedByHintCount: Int = 0,
     @CborLabel(7) val hint: SendHint? = null,
+    @CborLabel(8) val part: AnswerPart? = null,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -122,7 +122,10 @@
             position = answer.position,
             configurationVersion = sessions.configurationVersion,
         )
-        link.send(HostMessage(answer = message, hint = sessions.hint(start)))
+        val hint = sessions.hint(start)
+        val parts = AnswerPart.of(message)
+        if (parts.isEmpty()) return link.send(HostMessage(answer = message, hint = hint))
+        for (part in parts) link.send(HostMessage(part = part, hint = hint.takeIf { part.answer != null }))
     }
 
     private fun end(code: ErrorCode, text: String) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/log/TrafficKind.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/log/TrafficKind.kt
@@ -30,7 +30,7 @@
         /** The kind of [message] on a connection between two hosts. */
         public fun of(message: HostMessage): TrafficKind = when {
             message.request != null -> OPERATION_REQUEST
-            message.answer != null -> OPERATION_ANSWER
+            message.answer != null || message.part != null -> OPERATION_ANSWER
             else -> CONNECTION_STATE
         }
     }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -9,7 +9,7 @@
 import dev.cardamomlane.engine.log.TrafficKind
 
 /**
- * The connections between hosts in memory. Every message passes the codec. While [isPartitioned] returns true for two
+ * The connections between hosts in memory. Every message passes the codec, and one that is too long ends its connection. While [isPartitioned] returns true for two
  * hosts, nothing arrives between them. [onSent] receives the kind and the bytes of each message. [whenAwake] calls an action
  * of the named host, at once or when its machine is no longer suspended.
  */
@@ -84,6 +84,7 @@
         private fun deliver(message: HostMessage) {
             val bytes = HostMessageCodec.encode(message)
             onSent(TrafficKind.of(message), bytes.size)
+            if (bytes.size > HostMessageCodec.MAX_BYTES) return fail()
             timers.after(DELAY_MILLIS) {
                 if (isPartitioned(from, to)) return@after
                 whenAwake(to) {
@@ -94,6 +95,13 @@
             }
         }
 
+        private fun fail() {
+            timers.after(DELAY_MILLIS) {
+                other.disconnect()
+                disconnect()
+            }
+        }
+
         override fun close() {
             if (isClosed) return
             isClosed = true
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -122,6 +122,9 @@
     /** Every statement of a caller is refused with this code while it is set. */
     var refusesWith: ErrorCode? = null
 
+    /** The rows of the answer to a statement other than a status query. */
+    var rowsOf: (TargetStatement) -> List<String> = { emptyList() }
+
     /** Decides which statements of the host itself are refused. */
     var refusesOwn: (TargetStatement) -> Boolean = { false }
 
@@ -282,7 +285,7 @@
     private fun rows(statement: TargetStatement): List<String> = if (statement is TargetStatement.Status) {
         listOf("${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}")
     } else {
-        emptyList()
+        target.rowsOf(statement)
     }
 
     private fun reply(rows: List<String> = emptyList(), digest: String? = null, error: StatementError? = null) {
