Stand-ins read and write lines by the published rule, apart from the daemon's decoders

Cause: the targets framed lines with Netty's LineBasedFrameDecoder, as the daemon does, callers ended a line at a line feed, and statements were split at each blank. So no run could show that the daemon cut a statement at a line feed or at a blank. Change: a package of its own reads and writes lines: only a carriage return with a line feed ends one, one blank stands before each field, the last field reaches to the end. Targets keep text, plan, session values, connection, transaction and rows of each run, and can answer twice, refuse statements and return other rows. A caller's session ends on a message that answers nothing.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/caller/CallerSession.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/caller/CallerSession.kt
@@ -1,9 +1,10 @@
 package dev.cardamomlane.standin.lane.caller
 
+import dev.cardamomlane.standin.lane.line.Line
+import dev.cardamomlane.standin.lane.line.LineReader
 import dev.cardamomlane.standin.lane.record.RunRecord
 import dev.cardamomlane.standin.settings.SocketAddress
 import java.io.IOException
-import java.io.InputStream
 import java.net.InetSocketAddress
 import java.net.Socket
 
@@ -25,36 +26,51 @@
     answerTimeoutMillis: Int = 10_000,
 ) : AutoCloseable {
     private val socket = Socket()
-    private val input: InputStream
+    private val reader: LineReader
 
     /** Whether further statements can be sent. */
     @Volatile
     var isOpen = false
         private set
 
+    /** The first message of the host if it refused the session, else null. */
+    val refusal: String?
+
+    /** A message other than an error that arrived while nothing was outstanding, or null. */
+    @Volatile
+    var unaskedMessage: String? = null
+        private set
+
     init {
         try {
             socket.tcpNoDelay = true
             socket.connect(InetSocketAddress(address.host, address.port), CONNECT_TIMEOUT_MILLIS)
             socket.soTimeout = answerTimeoutMillis
-            input = socket.getInputStream().buffered()
-            send("START $database $key")
-            val line = readLine()
-            isOpen = line != null && line.startsWith("READY")
+            reader = LineReader(socket.getInputStream().buffered())
+            send(Line.of("START", database, key))
+            val line = reader.read()
+            isOpen = line != null && Line.word(line) == "READY"
             if (!isOpen) record.line("caller $name: session refused: $line")
+            refusal = line.takeIf { !isOpen }
         } catch (e: IOException) {
             socket.close()
             throw e
         }
     }
 
-    /** Runs the statement [text]. A broken connection gives an answer that is cut, and the session is not open then. */
-    fun run(text: String): CallerAnswer {
-        val id = ids.next()
+    /**
+     * Runs the statement [text] as [id]. A broken connection gives an answer that is cut, and the session is not open
+     * then. Neither is it after a message that answers nothing; the statement isn't sent then.
+     */
+    fun run(text: String, id: String = ids.next()): CallerAnswer {
         record.line("caller $name sends $id $text")
         val answer = try {
-            send("QUERY $id $text")
-            read(id)
+            if (hasUnaskedMessage()) {
+                cut(id)
+            } else {
+                send(Line.of("QUERY", id, text))
+                read(id)
+            }
         } catch (e: IOException) {
             record.line("caller $name: ${e.message}")
             cut(id)
@@ -69,40 +85,37 @@
         socket.close()
     }
 
+    /** Whether something has arrived while nothing was outstanding. Only an error may, before the connection ends. */
+    private fun hasUnaskedMessage(): Boolean {
+        if (!reader.hasMore()) return false
+        val line = reader.read()
+        if (line != null && Line.word(line) != "ERR") unaskedMessage = line
+        record.line("caller $name gets while nothing is outstanding: $line")
+        return true
+    }
+
     private fun read(id: String): CallerAnswer {
         val rows = ArrayList<String>()
         var answer: CallerAnswer? = null
         while (true) {
-            val line = readLine() ?: return cut(id)
-            val words = line.split(' ', limit = 2)
-            val rest = words.getOrElse(1) { "" }
-            when (words[0]) {
-                "ROW" -> rows += rest
-                "DONE" -> answer = CallerAnswer(id, code = null, digest = rest, rows = rows.toList())
-                "ERR" -> answer = CallerAnswer(id, code = rest.substringBefore(' '))
-                "READY" -> return answer?.copy(isInTransaction = !rest.startsWith("I")) ?: cut(id)
+            val line = reader.read() ?: return cut(id)
+            when (Line.word(line)) {
+                "ROW" -> rows += fields(line, 1)[0]
+                "DONE" -> answer = CallerAnswer(id, code = null, digest = fields(line, 1)[0], rows = rows.toList())
+                "ERR" -> answer = CallerAnswer(id, code = fields(line, 2)[0])
+                "READY" -> return answer?.copy(isInTransaction = fields(line, 2)[0] != "I") ?: cut(id)
                 else -> throw IOException("unexpected line \"$line\"")
             }
         }
     }
 
+    private fun fields(line: String, count: Int): List<String> =
+        Line.fields(line, count) ?: throw IOException("fewer than $count fields in \"$line\"")
+
     private fun cut(id: String) = CallerAnswer(id, code = null, isCut = true)
 
     private fun send(line: String) {
-        socket.getOutputStream().write("$line\r\n".toByteArray(Charsets.ISO_8859_1))
-    }
-
-    /** Returns null at the end of the connection, also in the middle of a line. */
-    private fun readLine(): String? {
-        val line = StringBuilder()
-        while (true) {
-            val byte = input.read()
-            when {
-                byte < 0 -> return null
-                byte == '\n'.code -> return line.removeSuffix("\r").toString()
-                else -> line.append(byte.toChar())
-            }
-        }
+        socket.getOutputStream().write(Line.bytes(line))
     }
 
     private companion object {
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.standin.lane.target.Commit
 import dev.cardamomlane.standin.lane.target.GroupListener
+import dev.cardamomlane.standin.lane.target.RunContent
 import java.util.concurrent.ConcurrentHashMap
 
 /**
@@ -32,9 +33,15 @@
     /** Returns the runs of the statement [statementId] that a target ended with success. */
     fun runsOf(statementId: String): List<StatementRun> = runsById[statementId].orEmpty()
 
+    /** Returns all statements that a target ran with success, with their runs. */
+    fun runs(): Map<String, List<StatementRun>> = runsById.toMap()
+
     /** Returns the runs of the read [statementId], several if it was sent to several targets. */
     fun readsOf(statementId: String): List<ReadRun> = readsById[statementId].orEmpty()
 
+    /** Whether a commit of the statement [statementId] was made and not rolled back. */
+    fun isKept(statementId: String): Boolean = positions.containsKey(statementId) && statementId !in rolledBack
+
     /** Whether a target has received the statement [statementId]. */
     fun hasBegun(statementId: String): Boolean = statementId in begun
 
@@ -42,8 +49,8 @@
         begun += statementId
     }
 
-    override fun onRun(target: String, statementId: String, digest: String) {
-        val run = StatementRun(target, digest, record.nowMillis)
+    override fun onRun(target: String, statementId: String, digest: String, content: RunContent) {
+        val run = StatementRun(target, digest, record.nowMillis, content)
         runsById.merge(statementId, listOf(run)) { earlier, latest -> earlier + latest }
     }
 
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/RunRecord.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/RunRecord.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.standin.lane.record
 
+import dev.cardamomlane.standin.lane.line.Printable
 import java.io.Writer
 import java.util.Locale
 import java.util.concurrent.TimeUnit
@@ -18,7 +19,7 @@
 
     @Synchronized
     fun line(text: String) {
-        out.write("%8.3f %s\n".format(Locale.ROOT, nowMillis / MILLIS_PER_SECOND, text))
+        out.write("%8.3f %s\n".format(Locale.ROOT, nowMillis / MILLIS_PER_SECOND, Printable.of(text)))
         out.flush()
     }
 
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/GroupListener.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/GroupListener.kt
@@ -6,7 +6,7 @@
     fun onBegun(target: String, statementId: String)
 
     /** A target has run the statement [statementId] and answers it with [digest], though the answer may be lost. */
-    fun onRun(target: String, statementId: String, digest: String)
+    fun onRun(target: String, statementId: String, digest: String, content: RunContent = RunContent())
 
     /** The read [statementId] runs at a target that has applied all commits up to [last], or none if that is null. */
     fun onRead(target: String, statementId: String, last: Commit?)
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/LineStatement.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/LineStatement.kt
@@ -1,5 +1,7 @@
 package dev.cardamomlane.standin.lane.target
 
+import dev.cardamomlane.standin.lane.line.Line
+
 /** A statement of the line protocol. */
 internal sealed interface LineStatement {
     data class Begin(val isReadOnly: Boolean) : LineStatement
@@ -14,10 +16,10 @@
 
     data class Set(val name: String, val value: String) : LineStatement
 
-    data class Prepare(val name: String, val isWrite: Boolean) : LineStatement
+    data class Prepare(val name: String, val plan: PreparedPlan) : LineStatement
 
-    /** [data] is null when the statement names none. */
-    data class Execute(val name: String, val item: String, val data: String?) : LineStatement
+    /** [arguments] is the item, and for a write the data behind it. */
+    data class Execute(val name: String, val arguments: String) : LineStatement
 
     data class Deallocate(val name: String) : LineStatement
 
@@ -34,32 +36,36 @@
     data object Malformed : LineStatement
 
     companion object {
-        /** Returns [Malformed] if [text] is no statement. */
-        fun parse(text: String): LineStatement {
-            val words = text.split(' ')
-            return when (words.first()) {
-                "BEGIN" -> Begin(isReadOnly = words.getOrNull(1) == "READ")
-                "COMMIT" -> Commit
-                "ROLLBACK" -> Rollback
-                "READ" -> words.getOrNull(1)?.let(::Read)
-                "WRITE" -> words.getOrNull(1)?.let { Write(it, text.afterWords(2)) }
-                "SET" -> words.getOrNull(1)?.let { Set(it, text.afterWords(2)) }
-                "PREPARE" -> words.getOrNull(2)?.let { Prepare(words[1], isWrite = it == "WRITE") }
-                "EXEC" -> words.getOrNull(2)?.let { Execute(words[1], it, text.afterWords(3).ifEmpty { null }) }
-                "CLOSE" -> words.getOrNull(1)?.let(::Deallocate)
-                else -> parseControl(words)
-            } ?: Malformed
-        }
+        private const val READ = "READ"
+        private const val WRITE = "WRITE"
 
-        private fun parseControl(words: List<String>): LineStatement? = when (words.first()) {
+        /** Returns [Malformed] if [text] is no statement. */
+        fun parse(text: String): LineStatement = when (text) {
+            "BEGIN" -> Begin(isReadOnly = false)
+            "BEGIN $READ" -> Begin(isReadOnly = true)
+            "COMMIT" -> Commit
+            "ROLLBACK" -> Rollback
             "RESET" -> Reset
             "STATUS" -> Status
-            "DEMOTE" -> words.getOrNull(1)?.toLongOrNull()?.let(::Demote)
-            "PAUSE" -> words.getOrNull(1)?.toLongOrNull()?.let(::Pause)
             "RESUME" -> Resume
+            else -> parseFields(text) ?: Malformed
+        }
+
+        private fun parseFields(text: String): LineStatement? = when (Line.word(text)) {
+            READ -> Line.fields(text, 1)?.let { (item) -> Read(item) }
+            WRITE -> Line.fields(text, 2)?.let { (item, data) -> Write(item, data) }
+            "SET" -> Line.fields(text, 2)?.let { (name, value) -> Set(name, value) }
+            "PREPARE" -> Line.fields(text, 3)?.let { (name, access, shape) -> prepare(name, access, shape) }
+            "EXEC" -> Line.fields(text, 2)?.let { (name, arguments) -> Execute(name, arguments) }
+            "CLOSE" -> Line.fields(text, 1)?.let { (name) -> Deallocate(name) }
+            "DEMOTE" -> Line.fields(text, 1)?.single()?.toLongOrNull()?.let(::Demote)
+            "PAUSE" -> Line.fields(text, 1)?.single()?.toLongOrNull()?.let(::Pause)
             else -> null
         }
 
-        private fun String.afterWords(count: Int): String = split(' ', limit = count + 1).getOrElse(count) { "" }
+        private fun prepare(name: String, access: String, shape: String): Prepare? {
+            if (access != READ && access != WRITE) return null
+            return Prepare(name, PreparedPlan(isWrite = access == WRITE, shape))
+        }
     }
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/SessionTransaction.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/SessionTransaction.kt
@@ -1,7 +1,11 @@
 package dev.cardamomlane.standin.lane.target
 
-/** The transaction of a session, and what it has written so far. */
-internal class SessionTransaction(val isReadOnly: Boolean, private val startTerm: Long) {
+/**
+ * The transaction of a session, and what it has written so far.
+ *
+ * @property number among all transactions of its group
+ */
+internal class SessionTransaction(val number: Int, val isReadOnly: Boolean, private val startTerm: Long) {
     private var written = emptyMap<String, String>()
 
     /** True after a statement failed: the transaction can only be ended. */
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetGroup.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetGroup.kt
@@ -16,6 +16,15 @@
     private val random: Random = Random.Default,
 ) {
     private val members = ArrayList<LaneTarget>()
+
+    /** How many connections were opened to all targets. */
+    var connectionCount = 0
+        private set
+    private var transactionCount = 0
+
+    /** How all targets of the group deviate from a single answer to each statement. */
+    val answerFaults = AnswerFaults(random)
+
     val targets: List<LaneTarget> get() = members
 
     private val firstCounts = HashMap<Long, Int>()
@@ -24,6 +33,10 @@
     var newestTerm = 1L
         private set
 
+    fun nextConnection(): Int = ++connectionCount
+
+    fun nextTransaction(): Int = ++transactionCount
+
     /** How much longer the next use of a slot takes. */
     fun nextExtraMillis(): Long = random.nextLong(settings.maxExtraMillis + 1)
 
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetServer.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetServer.kt
@@ -1,5 +1,7 @@
 package dev.cardamomlane.standin.lane.target
 
+import dev.cardamomlane.standin.lane.line.Line
+import dev.cardamomlane.standin.lane.line.LineDecoder
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 import dev.cardamomlane.standin.settings.SocketAddress
 import io.netty.bootstrap.ServerBootstrap
@@ -14,7 +16,6 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.LineBasedFrameDecoder
 import org.tinylog.kotlin.Logger
 import java.io.IOException
 
@@ -36,7 +37,7 @@
             .childHandler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(LineBasedFrameDecoder(MAX_LINE_BYTES), Handler())
+                        channel.pipeline().addLast(Handler())
                     }
                 },
             )
@@ -58,11 +59,15 @@
     }
 
     private inner class Handler : SimpleChannelInboundHandler<ByteBuf>() {
+        private val decoder = LineDecoder()
         private var session: TargetSession? = null
         private var isProbe = false
 
-        override fun channelRead0(context: ChannelHandlerContext, frame: ByteBuf) {
-            val line = frame.toString(Charsets.ISO_8859_1)
+        override fun channelRead0(context: ChannelHandlerContext, bytes: ByteBuf) {
+            while (bytes.isReadable) decoder.add(bytes.readByte())?.let { onLine(context, it) }
+        }
+
+        private fun onLine(context: ChannelHandlerContext, line: String) {
             if (session == null && line.startsWith("GET ")) isProbe = true
             if (!isProbe) {
                 session(context.channel()).receive(line)
@@ -94,15 +99,11 @@
 
     private class ChannelOutput(private val channel: Channel) : SessionOutput {
         override fun write(text: String) {
-            channel.writeAndFlush(Unpooled.copiedBuffer(text, Charsets.ISO_8859_1))
+            channel.writeAndFlush(Unpooled.wrappedBuffer(Line.bytes(text)))
         }
 
         override fun close() {
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
         }
     }
-
-    private companion object {
-        const val MAX_LINE_BYTES = 1 shl 20
-    }
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
@@ -1,17 +1,23 @@
 package dev.cardamomlane.standin.lane.target
 
+import dev.cardamomlane.standin.lane.line.Line
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 
 /**
- * One connection to a target: its prepared statements and its transaction. Runs one request after another.
+ * One connection to a target: its values, its prepared statements and its transaction. Runs one request after another.
  *
  * The owner of the connection passes each line to [receive] and calls [close] when the connection ends, which rolls an
  * open transaction back. Not safe for use by several threads.
  */
-internal class TargetSession(private val target: LaneTarget, private val output: SessionOutput) {
-    private val settings = target.group.settings
+internal class TargetSession(private val target: LaneTarget, output: SessionOutput) {
+    private val group = target.group
+    private val settings = group.settings
+    private val faults = group.answerFaults
+    private val answers = TargetAnswers(output, faults, group.timers, ::stateLine)
+    private val number = group.nextConnection()
     private val waitingLines = ArrayDeque<String>()
-    private val isWriteByName = HashMap<String, Boolean>()
+    private val plans = HashMap<String, PreparedPlan>()
+    private var values = emptyMap<String, String>()
     private var transaction: SessionTransaction? = null
     private var isOpen = false
     private var isBusy = false
@@ -30,7 +36,7 @@
         isClosed = true
         transaction = null
         target.remove(this)
-        output.close()
+        answers.close()
     }
 
     private fun runNext() {
@@ -40,16 +46,16 @@
     }
 
     private fun open(line: String) {
-        val words = line.split(' ')
-        val isExpected = words.size >= 3 && words[0] == "START" && words[1] == settings.name &&
-            (words.size == 3 || words[3] == target.name)
+        val fields = line.takeIf { Line.word(it) == "START" }?.let { Line.fields(it, 3) ?: Line.fields(it, 2) }
+        val isExpected =
+            fields != null && fields[0] == settings.name && fields.getOrElse(2) { target.name } == target.name
         when {
             !isExpected -> refuse(PlatformWords.WRONG_TARGET)
             !target.admit(this) -> refuse(PlatformWords.TOO_MANY_CONNECTIONS)
             else -> {
                 val isAdmitted = target.slots.submit(settings.connectMillis) {
                     isOpen = true
-                    answer("")
+                    answer(AnswerKind.CONNECTION, "")
                 }
                 if (!isAdmitted) refuse(PlatformWords.BUSY)
             }
@@ -57,18 +63,22 @@
     }
 
     private fun refuse(code: String) {
-        output.write("ERR $code ${target.name}\r\n")
+        answers.refuse(code, target.name)
         close()
     }
 
     private fun query(line: String) {
         if (line == "QUIT") return close()
-        val request = LineRequest.parse(line) ?: return fail(PlatformWords.MALFORMED)
-        if (request.statementId != LineRequest.NO_ID) target.group.listener.onBegun(target.name, request.statementId)
+        val request = LineRequest.parse(line)
+        if (request == null) {
+            group.listener.onEvent("target ${target.name} gets a line that is no request: $line")
+            return fail(PlatformWords.MALFORMED)
+        }
+        if (request.statementId != LineRequest.NO_ID) group.listener.onBegun(target.name, request.statementId)
         when {
             request.after != null && request.after > target.appliedPosition -> fail(PlatformWords.LAGGING)
             transaction?.isFailed == true -> runFailed(request.statement)
-            else -> run(request.statementId, request.statement)
+            else -> run(request, request.statement)
         }
     }
 
@@ -79,96 +89,120 @@
         if (statement == LineStatement.Rollback) done() else fail(PlatformWords.MALFORMED)
     }
 
-    private fun run(statementId: String, statement: LineStatement) {
+    private fun run(request: LineRequest, statement: LineStatement) {
         when (statement) {
             is LineStatement.Begin -> begin(statement.isReadOnly)
-            LineStatement.Commit -> commit(statementId)
-            LineStatement.Rollback -> {
-                transaction = null
-                done()
+            LineStatement.Commit -> commit(request)
+            LineStatement.Rollback -> done { transaction = null }
+            is LineStatement.Read -> read(request, statement.item)
+            is LineStatement.Write -> write(request, statement.item, statement.data)
+            is LineStatement.Execute -> execute(request, statement)
+            is LineStatement.Prepare -> done { plans[statement.name] = statement.plan }
+            is LineStatement.Deallocate -> done { plans -= statement.name }
+            LineStatement.Reset -> done {
+                plans.clear()
+                values = emptyMap()
             }
-            is LineStatement.Read -> read(statementId, statement.item)
-            is LineStatement.Write -> write(statementId, statement.item, statement.data)
-            is LineStatement.Execute -> execute(statementId, statement)
-            is LineStatement.Prepare -> done { isWriteByName[statement.name] = statement.isWrite }
-            is LineStatement.Deallocate -> done { isWriteByName -= statement.name }
-            LineStatement.Reset -> done { isWriteByName.clear() }
-            is LineStatement.Set -> done()
+            is LineStatement.Set -> done { values = values + (statement.name to statement.value) }
             LineStatement.Status -> status()
-            is LineStatement.Demote -> status { target.group.demote(target, statement.term) }
+            is LineStatement.Demote -> status { group.demote(target, statement.term) }
             is LineStatement.Pause -> status { target.pause(statement.term) }
             LineStatement.Resume -> status { target.resume() }
-            LineStatement.Malformed -> fail(PlatformWords.MALFORMED)
+            LineStatement.Malformed -> malformed(request)
         }
     }
 
+    private fun malformed(request: LineRequest) {
+        group.listener.onEvent(
+            "target ${target.name} gets ${request.statementId} that is no statement: ${request.text}",
+        )
+        fail(PlatformWords.MALFORMED)
+    }
+
     private fun begin(isReadOnly: Boolean) {
         when {
             transaction != null -> fail(PlatformWords.MALFORMED)
             !isReadOnly && !target.isPrimary -> fail(PlatformWords.READ_ONLY)
-            else -> {
-                transaction = SessionTransaction(isReadOnly, target.term)
-                done()
-            }
+            else -> done { transaction = SessionTransaction(group.nextTransaction(), isReadOnly, target.term) }
         }
     }
 
-    private fun execute(statementId: String, statement: LineStatement.Execute) {
-        when (isWriteByName[statement.name]) {
-            null -> fail(PlatformWords.UNKNOWN_STATEMENT)
-            true -> write(statementId, statement.item, statement.data.orEmpty())
-            false -> read(statementId, statement.item)
+    private fun execute(request: LineRequest, statement: LineStatement.Execute) {
+        val plan = plans[statement.name]
+        when {
+            plan == null -> {
+                group.listener.onEvent("target ${target.name} knows no plan for ${request.statementId} ${request.text}")
+                fail(PlatformWords.UNKNOWN_STATEMENT)
+            }
+            plan.isWrite -> {
+                val item = statement.arguments.substringBefore(' ')
+                write(request, item, statement.arguments.substringAfter(' ', missingDelimiterValue = ""), plan)
+            }
+            else -> read(request, statement.arguments, plan)
         }
     }
 
-    private fun read(statementId: String, item: String) = runInSlot {
-        target.group.listener.onRead(target.name, statementId, target.lastApplied)
+    private fun read(request: LineRequest, item: String, plan: PreparedPlan? = null) = runInSlot(request) {
+        group.listener.onRead(target.name, request.statementId, target.lastApplied)
         val data = transaction?.values?.get(item) ?: target.log.value(item, target.appliedCount)
-        answerRun(statementId, "ROW ${data ?: "-"}\r\n")
+        answerRun(request, content(request, plan, faults.rowsOf(data)))
     }
 
-    private fun write(statementId: String, item: String, data: String) = runInSlot {
-        val transaction = transaction
-        when {
-            transaction != null && transaction.isReadOnly -> fail(PlatformWords.READ_ONLY)
-            transaction != null -> {
-                transaction.write(item, data)
-                answerRun(statementId)
-            }
-            else -> {
-                val isCommitted = target.commit(statementId, mapOf(item to data)) { answerRun(statementId) }
-                if (!isCommitted) fail(PlatformWords.READ_ONLY)
+    private fun write(request: LineRequest, item: String, data: String, plan: PreparedPlan? = null) =
+        runInSlot(request) {
+            val transaction = transaction
+            val content = content(request, plan)
+            when {
+                transaction != null && transaction.isReadOnly -> fail(PlatformWords.READ_ONLY)
+                transaction != null -> {
+                    transaction.write(item, data)
+                    answerRun(request, content)
+                }
+                else -> {
+                    val isCommitted = target.commit(request.statementId, mapOf(item to data)) {
+                        answerRun(request, content)
+                    }
+                    if (!isCommitted) fail(PlatformWords.READ_ONLY)
+                }
             }
         }
-    }
 
     /** Calls [action] when the statement has held a slot, unless the transaction can't go on at this target. */
-    private fun runInSlot(action: () -> Unit) {
+    private fun runInSlot(request: LineRequest, action: () -> Unit) {
         if (transaction?.hasLost(target) == true) return fail(PlatformWords.READ_ONLY)
         occupySlot(target.statementMillis) {
-            if (transaction?.hasLost(target) == true) fail(PlatformWords.READ_ONLY) else action()
+            if (transaction?.hasLost(target) == true) fail(PlatformWords.READ_ONLY) else runOrFail(request, action)
         }
     }
 
-    private fun commit(statementId: String) {
+    private fun commit(request: LineRequest) {
         val ending = transaction ?: return fail(PlatformWords.MALFORMED)
+        val content = content(request, plan = null)
         occupySlot(target.statementMillis) {
-            transaction = null
-            val isCommitted = when {
-                ending.values.isEmpty() -> {
-                    answerRun(statementId)
-                    true
+            runOrFail(request) {
+                transaction = null
+                val isCommitted = when {
+                    ending.values.isEmpty() -> {
+                        answerRun(request, content)
+                        true
+                    }
+                    ending.hasLost(target) -> false
+                    else -> target.commit(request.statementId, ending.values) { answerRun(request, content) }
                 }
-                ending.hasLost(target) -> false
-                else -> target.commit(statementId, ending.values) { answerRun(statementId) }
+                if (!isCommitted) fail(PlatformWords.READ_ONLY)
             }
-            if (!isCommitted) fail(PlatformWords.READ_ONLY)
         }
     }
 
+    /** Calls [action], unless the statement must be refused. */
+    private fun runOrFail(request: LineRequest, action: () -> Unit) {
+        val code = faults.nextError(hasPosition = request.after != null)
+        if (code == null) action() else fail(code)
+    }
+
     private fun occupySlot(millis: Long, action: () -> Unit) {
         if (target.isRollingBack) return fail(PlatformWords.BUSY)
-        val isAdmitted = target.slots.submit(millis + target.group.nextExtraMillis()) { if (!isClosed) action() }
+        val isAdmitted = target.slots.submit(millis + group.nextExtraMillis()) { if (!isClosed) action() }
         if (!isAdmitted) fail(PlatformWords.BUSY)
     }
 
@@ -178,43 +212,51 @@
         val lagMillis = if (target.isPrimary) 0 else target.lagMillis
         val received = text(target.receivedPosition.term, target.receivedPosition.offset)
         val load = "${target.slots.busyCount} ${target.connectionCount}"
-        answer("ROW $role ${target.term} $received ${target.heldTerm} $lagMillis $load\r\nDONE -\r\n")
+        val row = Line.of("ROW", "$role ${target.term} $received ${target.heldTerm} $lagMillis $load")
+        answer(AnswerKind.CONNECTION, row + Line.of("DONE", "-"))
     }
 
-    private fun answerRun(statementId: String, rows: String = "") {
+    private fun content(request: LineRequest, plan: PreparedPlan?, rows: List<String> = emptyList()) =
+        RunContent(request.text, plan, values, number, transaction?.number, rows)
+
+    private fun answerRun(request: LineRequest, content: RunContent) {
         val digest = target.nextDigest()
-        target.group.listener.onRun(target.name, statementId, digest)
+        group.listener.onRun(target.name, request.statementId, digest, content)
         if (target.consumeLostAnswer()) {
-            target.group.listener.onEvent("target ${target.name} loses an answer")
+            group.listener.onEvent("target ${target.name} loses an answer")
             close()
         } else {
-            answer("${rows}DONE $digest\r\n")
+            val rows = content.rows.joinToString("") { Line.of("ROW", it) }
+            answer(AnswerKind.RUN, rows + Line.of("DONE", digest))
         }
     }
 
     private fun done(change: () -> Unit = {}) {
         change()
-        answer("DONE -\r\n")
+        answer(AnswerKind.CONNECTION, Line.of("DONE", "-"))
     }
 
     /** A failure makes an open transaction fail, unless the statement was refused before it began. */
     private fun fail(code: String) {
-        if (code == PlatformWords.READ_ONLY) transaction?.isFailed = true
-        answer("ERR $code ${target.name}\r\n")
+        if (code == PlatformWords.READ_ONLY || code == PlatformWords.FAILED) transaction?.isFailed = true
+        answer(AnswerKind.ERROR, Line.of("ERR", code, target.name))
     }
 
-    private fun answer(lines: String) {
+    private fun answer(kind: AnswerKind, lines: String) {
         if (isClosed) return
-        val applied = target.appliedPosition
-        output.write("${lines}READY ${state()} ${text(applied.term, applied.offset)}\r\n")
+        answers.send(kind, lines)
         isBusy = false
         runNext()
     }
 
-    private fun state(): Char = when (transaction?.isFailed) {
-        null -> 'I'
-        true -> 'E'
-        false -> 'T'
+    private fun stateLine(): String {
+        val state = when (transaction?.isFailed) {
+            null -> "I"
+            true -> "E"
+            false -> "T"
+        }
+        val applied = target.appliedPosition
+        return Line.of("READY", state, text(applied.term, applied.offset))
     }
 
     private fun text(term: Long, number: Long) = "$term.$number"
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/wire/PlatformWords.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/wire/PlatformWords.kt
@@ -69,4 +69,7 @@
     const val READ_ONLY = "READONLY"
     const val UNKNOWN_STATEMENT = "NOSTMT"
     const val MALFORMED = "MALFORMED"
+    const val ABORTED = "ABORTED"
+    const val FAILED = "FAILED"
+    const val NO_ACCESS = "NOAUTH"
 }
