Cases TEXTS and STUTTER: what targets ran and callers were told, compared statement by statement

Change: callers run single statements and transactions with values, plans and retries; StatementChecks compares each run with what its id's caller sent (text, plan, values, transaction) and each success with what a target answered. A run that serves nothing fails. StatementChecksTest shows each finding on a made-up history.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
@@ -1,5 +1,8 @@
 package dev.cardamomlane.standin.lane.cases
 
+import dev.cardamomlane.standin.lane.load.LoadTrouble
+import dev.cardamomlane.standin.lane.target.AnswerKind
+
 /** The cases by their names on the command line. */
 internal enum class CaseName(val create: (seed: Long) -> ReviewCase) {
     SLOW_PROMOTION({ SlowPromotion() }),
@@ -11,4 +14,15 @@
     KEY_WITHDRAWAL({ KeyWithdrawal() }),
     FOREIGN_ROW({ ForeignRow() }),
     STEPPING_CLOCKS({ SteppingClocks(it) }),
+    TEXTS({ LoadCase(it, LoadTrouble(oddShare = 0.5)) }),
+    STUTTER({
+        LoadCase(it, LoadTrouble(repeatedKinds = AnswerKind.entries.toSet(), errorShares = LoadTrouble.FEW_ERRORS))
+    }),
+
+    /** Only answers of one kind come twice. */
+    STUTTER_RUNS({ LoadCase(it, LoadTrouble(repeatedKinds = setOf(AnswerKind.RUN))) }),
+    STUTTER_ERRORS({
+        LoadCase(it, LoadTrouble(0.0, setOf(AnswerKind.ERROR), repeatedShare = 0.3, LoadTrouble.MANY_ERRORS))
+    }),
+    STUTTER_CONNECTIONS({ LoadCase(it, LoadTrouble(repeatedKinds = setOf(AnswerKind.CONNECTION))) }),
 }
