Wire: a text or name that is not UTF-8 is refused where it is written anew

Cause: callers' texts were decoded with replacement characters. Parse and the names of Bind are written anew for the target, so a text in another encoding was prepared as another text than the caller sent, and names that differ only in such bytes were one: a Bind could run the statement of another name.

Change: Parse, Bind, Describe, Execute and Close read their texts with readExactText, which refuses bytes that do not come back as they were. The session ends with a protocol error, as for other malformed messages. Query is sent on byte for byte as before.

--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/FrontendMessage.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/FrontendMessage.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.wire
 
 import dev.cardamomlane.wire.internal.malformedIfTruncated
+import dev.cardamomlane.wire.internal.readExactText
 import dev.cardamomlane.wire.internal.readList
 import dev.cardamomlane.wire.internal.readText
 import dev.cardamomlane.wire.internal.readValue
@@ -54,7 +55,8 @@
         /**
          * Decodes one typed frame, header included. The caller keeps ownership of [frame].
          *
-         * @throws MalformedMessageException if the body doesn't match its type
+         * @throws MalformedMessageException if the body doesn't match its type, or a text that is sent on in another
+         *   message is not UTF-8
          */
         public fun decode(frame: ByteBuf): FrontendMessage {
             val body = frame.slice()
@@ -65,11 +67,11 @@
 
         private fun decodeBody(type: Char, body: ByteBuf): FrontendMessage = when (type) {
             'Q' -> Query(body.readText())
-            'P' -> Parse(body.readText(), body.readText(), body.readList { readInt() }.toImmutableList())
+            'P' -> Parse(body.readExactText(), body.readExactText(), body.readList { readInt() }.toImmutableList())
             'B' -> decodeBind(body)
-            'D' -> Describe(NameKind.decode(body.readByte()), body.readText())
-            'E' -> Execute(body.readText(), body.readInt())
-            'C' -> Close(NameKind.decode(body.readByte()), body.readText())
+            'D' -> Describe(NameKind.decode(body.readByte()), body.readExactText())
+            'E' -> Execute(body.readExactText(), body.readInt())
+            'C' -> Close(NameKind.decode(body.readByte()), body.readExactText())
             'S' -> Sync
             'H' -> Flush
             'X' -> Terminate
@@ -78,8 +80,8 @@
         }
 
         private fun decodeBind(body: ByteBuf): Bind = Bind(
-            portal = body.readText(),
-            statement = body.readText(),
+            portal = body.readExactText(),
+            statement = body.readExactText(),
             parameterFormats = body.readList { readShort().toInt() }.toImmutableList(),
             parameters = body.readList { readValue() }.toImmutableList(),
             resultFormats = body.readList { readShort().toInt() }.toImmutableList(),
--- a/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/internal/Fields.kt
+++ b/cardamomlane-wire/src/main/kotlin/dev/cardamomlane/wire/internal/Fields.kt
@@ -13,6 +13,18 @@
     return text
 }
 
+/**
+ * Reads a text like [readText], but throws a [MalformedMessageException] if it is not UTF-8: bytes that can't be decoded
+ * would be written as others.
+ */
+internal fun ByteBuf.readExactText(): String {
+    val start = readerIndex()
+    val text = readText()
+    val bytes = ByteBufUtil.getBytes(this, start, readerIndex() - 1 - start)
+    if (!bytes.contentEquals(text.toByteArray())) throw MalformedMessageException("a text field is not UTF-8")
+    return text
+}
+
 /** Writes [text] in UTF-8 and a zero byte after it. The text itself must contain no zero byte. */
 internal fun ByteBuf.writeText(text: String): ByteBuf {
     if (text.indexOf('\u0000') >= 0) throw MalformedMessageException("a text field holds a zero byte")
--- a/cardamomlane-wire/src/test/kotlin/dev/cardamomlane/wire/MessageCodecTest.kt
+++ b/cardamomlane-wire/src/test/kotlin/dev/cardamomlane/wire/MessageCodecTest.kt
@@ -37,6 +37,29 @@
         assertEquals(FrontendMessage.Parse("S_1", "SELECT $1", persistentListOf(23)), FrontendMessage.decode(frame))
     }
 
+    /** Guards against a target that prepares another text, or under a name that several of a caller's share. */
+    @Test
+    fun `a text or name that is not UTF-8 is refused where it would be written anew`() {
+        val accents = listOf(byteArrayOf(0xE9.toByte()), byteArrayOf(0xEA.toByte()), byteArrayOf(0xC3.toByte()))
+        for (bytes in accents) {
+            val text = bytes + 0
+            val bodies = listOf(
+                'P' to text + 0 + byteArrayOf(0, 0),
+                'P' to byteArrayOf(0) + text + byteArrayOf(0, 0),
+                'B' to text + 0 + ByteArray(6),
+                'B' to byteArrayOf(0) + text + ByteArray(6),
+                'D' to byteArrayOf('S'.code.toByte()) + text,
+                'D' to byteArrayOf('P'.code.toByte()) + text,
+                'E' to text + ByteArray(4),
+                'C' to byteArrayOf('S'.code.toByte()) + text,
+            )
+            for ((type, body) in bodies) {
+                val frame = out().writeByte(type.code).writeInt(Int.SIZE_BYTES + body.size).writeBytes(body)
+                assertFailsWith<MalformedMessageException>("$type") { FrontendMessage.decode(frame) }
+            }
+        }
+    }
+
     @Test
     fun `bindTo changes only the statement name`() {
         val bind = Unpooled.wrappedBuffer(
