PostgreSQL daemon: a prepared name is known until its Close is answered

Cause: with 256 names on a connection the eldest was forgotten when its Close was written. After an error earlier in the same unit the target skips the Close, and the statement stays. The next caller of that statement on the connection got "prepared statement already exists", and so did all later ones.

Change: PreparedNames.surplus names the eldest, and UnitEncoder removes it with the target's CloseComplete.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitEncoder.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitEncoder.kt
@@ -22,6 +22,7 @@
     val expected = ArrayDeque<ExpectedReply>()
 
     private val sentNames = HashSet<String>()
+    private val closingNames = HashSet<String>()
     private var unnamedSent = false
 
     fun write(unit: StatementUnit, plan: UnitPlan) {
@@ -88,12 +89,13 @@
     }
 
     private fun isPrepared(statement: PreparedStatement): Boolean =
-        statement.serverName in sentNames || statement.serverName in prepared
+        statement.serverName in sentNames || (statement.serverName in prepared && statement.serverName !in closingNames)
 
     private fun prepare(statement: PreparedStatement, isHidden: Boolean) {
-        prepared.evictIfFull()?.let { surplus ->
+        prepared.surplus(closingNames)?.let { surplus ->
+            closingNames += surplus
             FrontendWriter.close(out, NameKind.STATEMENT, surplus)
-            expected += ExpectedReply(ExpectedReply.CLOSE, isHidden = true)
+            expected += ExpectedReply(ExpectedReply.CLOSE, isHidden = true, onEnd = { prepared.remove(surplus) })
         }
         val name = statement.serverName
         sentNames += name
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/PreparedNames.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/PreparedNames.kt
@@ -3,7 +3,7 @@
 /**
  * The names of the statements that are prepared on one target connection, in order of last use.
  *
- * @param maxNames at how many names [evictIfFull] removes one
+ * @param maxNames at how many names one is [surplus]
  */
 internal class PreparedNames(private val maxNames: Int = 256) {
     private val names = LinkedHashMap<String, Unit>(16, 0.75f, true)
@@ -18,11 +18,12 @@
         names[name] = Unit
     }
 
-    /** Removes and returns the least recently used name if [maxNames] are prepared, else returns null. */
-    fun evictIfFull(): String? {
-        if (names.size < maxNames) return null
-        val eldest = names.keys.first()
-        names.remove(eldest)
-        return eldest
+    /** Removes [name], which the target has closed. */
+    fun remove(name: String) {
+        names.remove(name)
     }
+
+    /** Returns the least recently used name that is not [closing], or null if fewer than [maxNames] others are prepared. */
+    fun surplus(closing: Set<String>): String? =
+        if (names.size - closing.size < maxNames) null else names.keys.first { it !in closing }
 }
