PostgreSQL daemon: a reply out of order ends the connection

Cause: only their order tells which statement replies belong to, and a ReadyForQuery ended a statement whatever had come before it. One too many left a caller without an answer and its rows for what came next on the connection. On a control connection a promotion counted as granted by the row of the fence query before it. Replies while no statement ran were dropped, and the connection was handed on.

Change: ReplyHandler.isReplied tells whether all replies before the ReadyForQuery have come. TargetConnection and ControlConnection end the connection when a ReadyForQuery comes sooner, or a reply while none is expected; a read then runs elsewhere, a write has an unknown outcome. Notices, notifications and parameter changes come at any time.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/ControlConnection.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/group/ControlConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
+import org.tinylog.kotlin.Logger
 import reactor.core.publisher.Mono
 import reactor.core.publisher.MonoSink
 import java.io.IOException
@@ -16,7 +17,8 @@
 
 /**
  * A connection that runs control functions of a target. Queries may be sent without waiting for the answers to earlier
- * ones; the answers arrive in the order of the queries.
+ * ones; the answers arrive in the order of the queries. An answer that no query waits for, or a ReadyForQuery before the
+ * rest of the answer, closes the connection, since all later ones could be other queries'.
  *
  * To be used on the connection's event loop only. Its owner calls [close].
  */
@@ -57,11 +59,13 @@
     }
 
     private fun onMessage(message: BackendMessage) {
-        val query = pending.firstOrNull() ?: return
+        val query = pending.firstOrNull() ?: return onUnasked(message)
         when (message) {
             is BackendMessage.DataRow -> query.row = message.values.map { it?.decodeToString().orEmpty() }
             is BackendMessage.ErrorResponse -> query.error = message.error.message
+            is BackendMessage.CommandComplete -> query.isComplete = true
             is BackendMessage.ReadyForQuery -> {
+                if (!query.isReplied) return fail("a ReadyForQuery came before the answer")
                 pending.removeFirst()
                 query.finish()
             }
@@ -69,9 +73,22 @@
         }
     }
 
+    private fun onUnasked(message: BackendMessage) {
+        val isAllowed = message is BackendMessage.ParameterStatus || message is BackendMessage.Other
+        if (!isAllowed) fail("an answer came to no query")
+    }
+
+    private fun fail(reason: String) {
+        Logger.warn("group: Closing a control connection, {}.", reason)
+        session.link.abort()
+        onClosed(IOException(reason))
+    }
+
     private class PendingQuery(val sink: MonoSink<TextRow>) {
         var row: List<String>? = null
         var error: String? = null
+        var isComplete = false
+        val isReplied: Boolean get() = isComplete || row != null || error != null
 
         fun finish() {
             val answer = row
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/CallerReplyHandler.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/CallerReplyHandler.kt
@@ -12,6 +12,10 @@
 internal class CallerReplyHandler(private val expected: ArrayDeque<ExpectedReply>, private val sink: CallerReplySink) :
     ReplyHandler {
     private var failed = false
+    private var hasResult = false
+
+    override val isReplied: Boolean
+        get() = failed || expected.isEmpty() || (expected.first().endTypes == ExpectedReply.QUERY && hasResult)
 
     /** Passes on the local replies that precede the first reply of the target. To be called once, after the send. */
     fun start() = emitLocalReplies()
@@ -41,6 +45,7 @@
         val head = expected.firstOrNull()
         if (head == null || failed) return sink.onFrame(frame)
         val type = BackendMessage.typeOf(frame)
+        if (type in ExpectedReply.EXECUTE) hasResult = true
         if (head.isHidden) frame.release() else sink.onFrame(frame)
         if (type in head.endTypes) {
             expected.removeFirst()
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/InternalReplyHandler.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/InternalReplyHandler.kt
@@ -11,7 +11,11 @@
     private val onReady: () -> Unit = {},
     private val onLost: () -> Unit = {},
 ) : ReplyHandler {
+    override var isReplied = false
+        private set
+
     override fun onFrame(frame: ByteBuf) {
+        if (BackendMessage.typeOf(frame) in REPLIES) isReplied = true
         val message = try {
             BackendMessage.decode(frame)
         } finally {
@@ -26,4 +30,9 @@
     }
 
     override fun onLost(cause: Throwable?) = onLost()
+
+    private companion object {
+        /** DataRow, CommandComplete, ErrorResponse and EmptyQueryResponse, of which each query gets one at least. */
+        const val REPLIES = "DCEI"
+    }
 }
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetConnection.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.buffer.ByteBufAllocator
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.tinylog.kotlin.Logger
 
 /**
  * One open connection to a target.
@@ -18,6 +19,9 @@
  * handlers receive the replies in the order of the groups. A connection on which a reply is still expected is never
  * given to another caller.
  *
+ * Only their order tells which group replies belong to. So the connection is aborted when a reply comes that no group
+ * expects, or a ReadyForQuery before the replies that it ends: all later ones could be another group's.
+ *
  * @param onClosed called once when the connection has closed, before [ReplyHandler.onLost] of the pending handlers
  */
 internal class TargetConnection(
@@ -68,12 +72,15 @@
 
     override fun onFrame(frame: ByteBuf) {
         lastActivityMillis = timers.nowMillis()
+        val type = BackendMessage.typeOf(frame)
         val handler = pendingHandlers.firstOrNull()
-        if (handler == null) {
+        val isInOrder = if (handler == null) type in UNASKED else type != 'Z' || handler.isReplied
+        if (handler == null || !isInOrder) {
             frame.release()
+            if (!isInOrder) abortOutOfOrder(type)
             return
         }
-        if (BackendMessage.typeOf(frame) == 'Z') pendingHandlers.removeFirst()
+        if (type == 'Z') pendingHandlers.removeFirst()
         try {
             handler.onFrame(frame)
         } catch (error: MalformedMessageException) {
@@ -81,6 +88,11 @@
         }
     }
 
+    private fun abortOutOfOrder(type: Char) {
+        Logger.warn("target: Closing a connection to {}, message '{}' came out of order.", target, type)
+        abort(MalformedMessageException("message '$type' came out of order"))
+    }
+
     override fun onClosed(cause: Throwable?) {
         session.listen(ClosedListener)
         val lost = pendingHandlers.toList()
@@ -89,6 +101,11 @@
         lost.forEach { it.onLost(cause) }
     }
 
+    private companion object {
+        /** Notices, notifications and changes of parameters, which a server sends at any time. */
+        const val UNASKED = "NAS"
+    }
+
     private object ClosedListener : MessageListener {
         override fun onFrame(frame: ByteBuf) {
             frame.release()
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/FakeTarget.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/FakeTarget.kt
@@ -5,6 +5,7 @@
 import dev.cardamomlane.wire.FrameDecoders
 import dev.cardamomlane.wire.FrontendMessage
 import dev.cardamomlane.wire.ServerError
+import dev.cardamomlane.wire.StartupMessage
 import dev.cardamomlane.wire.TransactionStatus
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -13,6 +14,8 @@
 import reactor.netty.tcp.TcpServer
 import java.net.InetSocketAddress
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /**
  * A target that answers simple queries by a script, and records the statements of callers that it received.
@@ -38,9 +41,23 @@
         data class RowsThenClose(val values: List<String>) : Answer
 
         data object Close : Answer
+
+        /** Sends a ReadyForQuery that belongs to nothing, then the rows. */
+        data class RowsAfterReady(val values: List<String>) : Answer
+
+        /** Sends the rows twice, the second time [REPEAT_MILLIS] later. */
+        data class RowsTwice(val values: List<String>) : Answer
+
+        /** Sends the rows once a cancel request has arrived. */
+        data class RowsOnCancel(val values: List<String>) : Answer
     }
 
     val statements = CopyOnWriteArrayList<String>()
+
+    /** The number of the connection on which each of [statements] arrived. */
+    val connectionsOfStatements = CopyOnWriteArrayList<Int>()
+    private val accepted = AtomicInteger()
+    private val untilCancel = CopyOnWriteArrayList<() -> Unit>()
     private val server: DisposableServer = checkNotNull(
         TcpServer.create().host("127.0.0.1").port(0).doOnConnection { accept(it) }.bind().block(),
     )
@@ -51,9 +68,13 @@
     private fun accept(connection: Connection) {
         connection.addHandlerLast(FRAMES, FrameDecoders.startup())
         var started = false
+        val number = accepted.incrementAndGet()
         connection.inbound().receive().subscribe { frame ->
             if (started) {
-                answer(connection, FrontendMessage.decode(frame))
+                answer(connection, number, FrontendMessage.decode(frame))
+            } else if (StartupMessage.decode(frame) is StartupMessage.Cancel) {
+                untilCancel.forEach { it() }
+                untilCancel.clear()
             } else {
                 started = true
                 connection.channel().pipeline().replace(FRAMES, FRAMES, FrameDecoders.typed(1 shl 20))
@@ -66,7 +87,7 @@
         }
     }
 
-    private fun answer(connection: Connection, message: FrontendMessage) {
+    private fun answer(connection: Connection, number: Int, message: FrontendMessage) {
         val sql = (message as? FrontendMessage.Query)?.sql ?: return
         when {
             sql.contains("cardamomlane_position") -> {
@@ -80,6 +101,7 @@
             sql.startsWith("SET ") -> send(connection, ready(BackendWriter.commandComplete(Unpooled.buffer(), "SET")))
             else -> {
                 statements += sql
+                connectionsOfStatements += number
                 answer(connection, script(sql))
             }
         }
@@ -94,6 +116,17 @@
                 send(connection, rows(answer.values))
                 connection.channel().close()
             }
+            is Answer.RowsAfterReady -> {
+                send(connection, ready(Unpooled.buffer()))
+                answer(connection, Answer.Rows(answer.values))
+            }
+            is Answer.RowsTwice -> {
+                val rows = Answer.Rows(answer.values)
+                answer(connection, rows)
+                connection.channel().eventLoop()
+                    .schedule({ answer(connection, rows) }, REPEAT_MILLIS, TimeUnit.MILLISECONDS)
+            }
+            is Answer.RowsOnCancel -> untilCancel += { answer(connection, Answer.Rows(answer.values)) }
             Answer.Close -> connection.channel().close()
         }
     }
@@ -109,8 +142,9 @@
         connection.channel().writeAndFlush(out)
     }
 
-    private companion object {
-        const val FRAMES = "frames"
-        const val TEXT_OID = 25
+    companion object {
+        const val REPEAT_MILLIS = 30L
+        private const val FRAMES = "frames"
+        private const val TEXT_OID = 25
     }
 }
