PostgreSQL daemon: a connection with a cancel request under way is not handed on

Cause: a cancel request travels on a connection of its own and names the session, not the statement. When the statement ended before the request arrived, the connection already ran another caller's statement, which was cancelled.

Change: TargetPool closes a returned connection for which a cancel request was sent.

Measured: the new test of TargetAnswerOrderTest failed before (the next caller's statement came on the same connection) and passes now.

--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
@@ -95,6 +95,7 @@
     }
 
     fun cancel() {
+        connection.isCancelled = true
         services.probe.cancel(place.dispatcher.target, connection.processId, connection.secretKey)
     }
 
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetConnection.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetConnection.kt
@@ -38,6 +38,9 @@
     /** The session parameters that were set on this connection: their values as SQL text, by lower-case name. */
     var parameters: PersistentMap<String, String> = persistentMapOf()
 
+    /** Whether a cancel request was sent for this connection, which may reach the target at any later moment. */
+    var isCancelled = false
+
     /** When the last frame arrived, or messages were last sent while no reply was expected; monotonic milliseconds. */
     var lastActivityMillis: Long = timers.nowMillis()
         private set
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetPool.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/target/TargetPool.kt
@@ -39,10 +39,17 @@
         budget.cancel(requestId)
     }
 
-    /** Takes back a connection. It must expect no reply and be in no transaction. */
+    /**
+     * Takes back a connection. It must expect no reply and be in no transaction. It is closed if a cancel request was sent
+     * for it, which could hit the statement of the next caller.
+     */
     fun release(connection: TargetConnection) {
         check(connection.isIdle) { "a connection to $target was released while a reply is still expected" }
-        if (connection.isOpen) perform(budget.released(connection.id, timers.nowMillis()))
+        when {
+            !connection.isOpen -> return
+            connection.isCancelled -> connection.close()
+            else -> perform(budget.released(connection.id, timers.nowMillis()))
+        }
     }
 
     fun setShare(count: Int) = perform(budget.setShare(count, timers.nowMillis()))
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/TargetAnswerOrderTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/TargetAnswerOrderTest.kt
@@ -9,10 +9,11 @@
 import reactor.core.scheduler.Schedulers
 import reactor.netty.resources.LoopResources
 import java.sql.Connection
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Targets that answer more often than they are asked. */
+/** Targets that answer more often than they are asked, and cancel requests that arrive late. */
 class TargetAnswerOrderTest {
     private val closeables = ArrayList<AutoCloseable>()
 
@@ -57,6 +58,28 @@
         assertEquals(2, one.connectionsOfStatements.distinct().size)
     }
 
+    /** Guards against a statement of another caller that a late cancel request hits. */
+    @Test
+    fun `a connection for which a cancel request was sent is not handed to another caller`() {
+        val one = target { FakeTarget.Answer.RowsOnCancel(listOf("one")) }
+        val path = path(one)
+
+        for (count in 1..2) {
+            path.connect().use { it.readAndCancel(onceRunning = { one.connectionsOfStatements.size == count }) }
+        }
+
+        assertEquals(2, one.connectionsOfStatements.distinct().size)
+    }
+
+    private fun Connection.readAndCancel(onceRunning: () -> Boolean) = createStatement().use { statement ->
+        val canceller = thread {
+            while (!onceRunning()) Thread.sleep(1)
+            statement.cancel()
+        }
+        statement.execute(READ)
+        canceller.join()
+    }
+
     /** Guards against a promotion that counts as granted by the answer to the fence before it. */
     @Test
     fun `a control query is not answered by the rows of the one before`() {
