Links between hosts: a test that each step has one answer at most

Answers name the operation but not its step, so a second answer to a step would be taken for the answer to the next one. Steps of an operation come one after another, an operation that ends is removed with its number, and numbers are not used again on a connection; so a shift needs a host that answers a step twice. No number of the step is added to the messages.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -6,6 +6,9 @@
 import dev.cardamomlane.engine.forward.HostLinkListener
 import dev.cardamomlane.engine.forward.HostMessage
 import dev.cardamomlane.engine.forward.HostMessageCodec
+import dev.cardamomlane.engine.forward.OperationAnswer
+import dev.cardamomlane.engine.forward.OperationRequest
+import dev.cardamomlane.engine.forward.StepKind
 import dev.cardamomlane.engine.log.TrafficKind
 
 /**
@@ -29,6 +32,9 @@
     /** The requests that arrived at each host. */
     val requestCounts = HashMap<String, Int>()
 
+    /** The answers that a host sent for an operation of which every step had its answer already. */
+    val surplusAnswers = ArrayList<OperationAnswer>()
+
     fun add(name: String, host: ProxyHost) {
         hosts[name] = host
     }
@@ -69,6 +75,7 @@
         var isClosed = false
         private var isOpen = false
         private val unsent = ArrayList<HostMessage>()
+        private val unansweredSteps = HashMap<Long, Int>()
 
         fun open() {
             isOpen = true
@@ -82,18 +89,34 @@
         }
 
         private fun deliver(message: HostMessage) {
+            message.answer?.let(::countAnswer)
             val bytes = HostMessageCodec.encode(message)
             onSent(TrafficKind.of(message), bytes.size)
             timers.after(DELAY_MILLIS) {
                 if (isPartitioned(from, to)) return@after
                 whenAwake(to) {
                     if (other.isClosed) return@whenAwake
-                    if (message.request != null) requestCounts.merge(to, 1, Int::plus)
+                    message.request?.let(other::countRequest)
                     other.listener.onMessage(checkNotNull(HostMessageCodec.decode(bytes)))
                 }
             }
         }
 
+        private fun countRequest(request: OperationRequest) {
+            requestCounts.merge(from, 1, Int::plus)
+            if (request.kind == StepKind.ROLLBACK) {
+                unansweredSteps.remove(request.operation)
+            } else {
+                unansweredSteps.merge(request.operation, 1, Int::plus)
+            }
+        }
+
+        private fun countAnswer(answer: OperationAnswer) {
+            val left = (unansweredSteps.remove(answer.operation) ?: 0) - 1
+            if (left < 0) surplusAnswers += answer
+            if (left > 0) unansweredSteps[answer.operation] = left
+        }
+
         override fun close() {
             if (isClosed) return
             isClosed = true
