--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -155,7 +155,7 @@
     private fun handle(incoming: IncomingStatement) {
         val open = transaction
         when (val statement = incoming.statement) {
-            is Statement.Unreadable -> failMalformed(incoming, statement.reason)
+            is Statement.Unreadable -> fail(incoming, statement.code, statement.reason)
             is Statement.Commit -> endTransaction(incoming, open, ::commit)
             is Statement.Rollback -> endTransaction(incoming, open, ::rollback)
             else -> {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/Statement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/Statement.kt
@@ -30,6 +30,6 @@
     /** Drops the prepared statement [name]. */
     public data class Close(val name: String) : Statement
 
-    /** A statement that can't be parsed, and why. */
-    public data class Unreadable(val reason: String) : Statement
+    /** A statement that can't be parsed or sent to a target, and why. */
+    public data class Unreadable(val reason: String, val code: ErrorCode = ErrorCode.MALFORMED) : Statement
 }
