A session's values and prepared statements are bounded

A caller could set values and prepare statements under ever new names; the host kept all of them for as long as the session was open, and sent all values with each forwarded operation, beyond the longest message between hosts.

What has no room is refused with "too large" and leaves the session as it was. The values and statements are in a class of their own. The error for an unknown prepared statement no longer repeats its name, which made the answer longer than the longest message.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -31,8 +31,7 @@
     isForwarded: Boolean = false,
 ) {
     private val operations = OperationStarter(services, database, key, isForwarded)
-    private val values = LinkedHashMap<String, String>()
-    private val prepared = HashMap<String, PreparedPlan>()
+    private val state = CallerState()
     private val pending = ArrayDeque<IncomingStatement>()
     private var current: IncomingStatement? = null
     private var transaction: SessionTransaction? = null
@@ -63,8 +62,7 @@
 
     /** Takes over the session values, and the position of the last commit, of the session that an operation is from. */
     internal fun adopt(newValues: Map<String, String>, commit: LogPosition? = lastCommit) {
-        values.clear()
-        values.putAll(newValues)
+        state.adopt(newValues)
         lastCommit = commit
     }
 
@@ -170,16 +168,10 @@
 
     private fun handleStatement(incoming: IncomingStatement, statement: Statement, open: SessionTransaction?) {
         when (statement) {
-            is Statement.SetValue -> {
-                values[statement.name] = statement.value
-                succeed(incoming)
-            }
-            is Statement.Prepare -> {
-                prepared[statement.name] = statement.plan
-                succeed(incoming)
-            }
+            is Statement.SetValue -> answerChange(incoming, state.set(statement.name, statement.value))
+            is Statement.Prepare -> answerChange(incoming, state.prepare(statement.name, statement.plan))
             is Statement.Close -> {
-                prepared.remove(statement.name)
+                state.close(statement.name)
                 succeed(incoming)
             }
             is Statement.Begin ->
@@ -190,9 +182,9 @@
                 open,
             )
             is Statement.Execute -> {
-                val plan = prepared[statement.name]
+                val plan = state.plan(statement.name)
                 if (plan == null) {
-                    fail(incoming, ErrorCode.UNKNOWN_STATEMENT, "no prepared statement ${statement.name}")
+                    fail(incoming, ErrorCode.UNKNOWN_STATEMENT, "no prepared statement of this name")
                 } else {
                     execute(incoming, plan, statement.arguments, open)
                 }
@@ -202,6 +194,16 @@
         }
     }
 
+    private fun answerChange(incoming: IncomingStatement, isDone: Boolean) {
+        if (isDone) {
+            succeed(
+                incoming,
+            )
+        } else {
+            fail(incoming, ErrorCode.TOO_LARGE, "the session's values and statements exceed the limit")
+        }
+    }
+
     private fun begin(incoming: IncomingStatement, statement: Statement.Begin) {
         operations.startTransaction(
             context(incoming),
@@ -253,7 +255,7 @@
     }
 
     private fun commit(incoming: IncomingStatement, open: SessionTransaction) {
-        open.commit(incoming.id, SessionState(values, emptyList())) { outcome ->
+        open.commit(incoming.id, SessionState(state.values, emptyList())) { outcome ->
             transaction = null
             if (outcome.error == null) recordCommit(outcome.position)
             answer(incoming, outcome, open.route)
@@ -270,8 +272,7 @@
         if (position != null) lastCommit = position
     }
 
-    private fun stateFor(statement: ResolvedStatement) =
-        SessionState(LinkedHashMap(values), listOfNotNull(statement.plan))
+    private fun stateFor(statement: ResolvedStatement) = SessionState(state.values, listOfNotNull(statement.plan))
 
     /** Answers an operation that was not started; closes the session when the configuration does not allow it. */
     private fun refuse(incoming: IncomingStatement, refusal: OperationRefusal) {
