--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationRequest.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationRequest.kt
@@ -11,7 +11,8 @@
  * @property id the caller's id of the statement
  * @property text the statement, or its arguments when [shape] is set
  * @property shape the shape of the prepared plan to run, or null for a statement that was not prepared
- * @property values the session values, when they differ from those of the operation's last step
+ * @property values the session values, when they differ from those of the operation's last step. An empty map arrives as
+ *   null: a session never drops a value, so that it has none only before the first
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
