Soak: odd texts, keys and rows, answers that come twice, and the strict checks while it runs

Change: its callers use the sessions of the cases TEXTS and STUTTER with a fifth of the fields odd; a disturbance STUTTER; findings for statements that ran otherwise than sent, with other values or outside their transaction, for keys with more behind them, and for operations that were kept after any refusal. Nothing near excuses these. The case command takes the number of hosts. SoakChecksTest shows each new finding on a made-up history.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
@@ -34,7 +34,9 @@
     syncReplicaCount: Int = 0,
 ) : AutoCloseable {
     private val network = LoopbackNetwork.pick()
-    private val ids = StatementIds()
+
+    /** Gives the statements of all callers their ids. */
+    val ids = StatementIds()
     val platform = LanePlatform(site, network, customerCount, ratePerSecond, record, syncReplicaCount)
     val fleet: HostFleet
     val admin = LaneAdminServer(network.nextSocketAddress(), installation = this)
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseCommand.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseCommand.kt
@@ -37,6 +37,9 @@
     @Option(names = ["--seed"], paramLabel = "N", description = ["of a case that makes choices"], defaultValue = "1")
     private var seed: Long = 0
 
+    @Option(names = ["--hosts"], paramLabel = "N", description = ["number of hosts; by default that of the case"])
+    private var hostCount: Int? = null
+
     @Option(
         names = ["--host-variable"],
         paramLabel = "NAME=VALUE",
@@ -60,7 +63,7 @@
         val directory = logs?.let(Files::createDirectories) ?: Files.createTempDirectory("cardamomlane-case")
         val installation = LaneInstallation(
             case.site,
-            case.site.hostZones.size,
+            hostCount ?: case.site.hostZones.size,
             directory.toAbsolutePath(),
             record,
             hostVariables = hostVariables,
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
@@ -15,9 +15,7 @@
     FOREIGN_ROW({ ForeignRow() }),
     STEPPING_CLOCKS({ SteppingClocks(it) }),
     TEXTS({ LoadCase(it, LoadTrouble(oddShare = 0.5)) }),
-    STUTTER({
-        LoadCase(it, LoadTrouble(repeatedKinds = AnswerKind.entries.toSet(), errorShares = LoadTrouble.FEW_ERRORS))
-    }),
+    STUTTER({ LoadCase(it, LoadTrouble.STUTTER) }),
 
     /** Only answers of one kind come twice. */
     STUTTER_RUNS({ LoadCase(it, LoadTrouble(repeatedKinds = setOf(AnswerKind.RUN))) }),
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/LoadCase.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/LoadCase.kt
@@ -1,8 +1,8 @@
 package dev.cardamomlane.standin.lane.cases
 
 import dev.cardamomlane.standin.lane.LaneInstallation
-import dev.cardamomlane.standin.lane.caller.StatementIds
 import dev.cardamomlane.standin.lane.host.SitePlan
+import dev.cardamomlane.standin.lane.load.KeyTrouble
 import dev.cardamomlane.standin.lane.load.LoadCaller
 import dev.cardamomlane.standin.lane.load.LoadFigures
 import dev.cardamomlane.standin.lane.load.LoadHistory
@@ -21,7 +21,6 @@
     override val site = SitePlan.GUILD
 
     private val history = LoadHistory()
-    private val ids = StatementIds()
 
     override fun run(installation: LaneInstallation, hasTrouble: Boolean): Verdict {
         val present = if (hasTrouble) trouble else LoadTrouble()
@@ -30,17 +29,18 @@
         val keys = KeyTrouble(installation, history).takeIf { present.oddShare > 0 }
         keys?.begin()
         platform.onLoop {
-            val rows = OddRows(random, OddText(random, present.oddShare))
-            present.begin(platform.group.answerFaults, rows, isStateRebuilt = seed % 2 == 0L)
+            val faults = platform.group.answerFaults
+            if (present.oddShare > 0) faults.rowsOf = OddRows(random, OddText(random, present.oddShare))::of
+            present.begin(faults, isStateRebuilt = seed % 2 == 0L)
         }
         val startMillis = installation.record.nowMillis
         val isOver = AtomicBoolean()
         BackgroundTasks().use { tasks ->
             val callers = List(installation.hosts.size * CALLERS_PER_HOST) { number ->
-                val customer = installation.customers[number % installation.customers.size]
-                val key = keys?.keyOf(number) ?: customer.keys.first()
+                val customer = number % installation.customers.size
+                val key = keys?.keyOf(customer) ?: installation.customers[customer].keys.first()
                 val callerRandom = Random(seed * SEED_STEP + number)
-                val caller = LoadCaller(installation, number, key, history, ids, callerRandom, present.oddShare)
+                val caller = LoadCaller(installation, number, key, history, callerRandom, present.oddShare)
                 tasks.start { caller.run(isOver::get) }
             }
             val probe = keys?.let { tasks.start { it.probe(isOver::get) } }
@@ -50,12 +50,13 @@
         }
         val tookMillis = installation.record.nowMillis - startMillis
         Thread.sleep(SETTLE_MILLIS)
-        return verdict(installation, tookMillis, keys?.admitted.orEmpty())
+        return verdict(installation, tookMillis)
     }
 
-    private fun verdict(installation: LaneInstallation, tookMillis: Long, admittedKeys: List<String>): Verdict {
+    private fun verdict(installation: LaneInstallation, tookMillis: Long): Verdict {
+        val admittedKeys = history.admittedKeys()
         val platform = installation.platform
-        val violations = platform.onLoop { StatementChecks(history.statements(), platform.history).violations() }
+        val violations = platform.onLoop { StatementChecks(platform.history, history::statements).violations() }
         violations.forEach { installation.record.line("violation $it") }
         val figures = platform.onLoop { LoadFigures(history, platform, tookMillis) }
         installation.record.line("$figures")
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/KeyTrouble.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/KeyTrouble.kt
@@ -1,17 +1,10 @@
-package dev.cardamomlane.standin.lane.cases
+package dev.cardamomlane.standin.lane.load
 
 import dev.cardamomlane.standin.lane.LaneInstallation
-import dev.cardamomlane.standin.lane.load.LoadHistory
 import java.io.IOException
-import java.util.concurrent.ConcurrentLinkedQueue
 
 /** Some customers have keys with blanks and line breaks, and some callers send a key with more behind it. */
 internal class KeyTrouble(private val installation: LaneInstallation, private val history: LoadHistory) {
-    private val admittedKeys = ConcurrentLinkedQueue<String>()
-
-    /** The keys that no customer has but that opened a session. */
-    val admitted: List<String> get() = admittedKeys.toList()
-
     /** Gives the customers their odd keys and waits until hosts can know them. */
     fun begin() {
         ODD_KEYS.forEachIndexed { customer, key ->
@@ -20,8 +13,8 @@
         Thread.sleep(APPLY_MILLIS)
     }
 
-    /** Returns the key of the caller [number], of the customer with that number. */
-    fun keyOf(number: Int): String? = ODD_KEYS.getOrNull(number % installation.customers.size)
+    /** Returns the odd key of customer number [customer], or its first one if it has no odd one. */
+    fun keyOf(customer: Int): String = ODD_KEYS.getOrNull(customer) ?: installation.customers[customer].keys.first()
 
     /** Tries keys that no customer has. Blocks until [isOver] says so. */
     fun probe(isOver: () -> Boolean) {
@@ -37,7 +30,7 @@
         val host = number % installation.hosts.size
         try {
             installation.connect("probe$number", host, FIRST_PLAIN, key = key).use {
-                if (it.isOpen) admittedKeys += key else history.onRefused("probe: ${it.refusal}")
+                if (it.isOpen) history.onAdmitted(key) else history.onRefused("probe: ${it.refusal}")
             }
         } catch (e: IOException) {
             history.onRefused("probe: ${e.javaClass.simpleName}")
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadCaller.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadCaller.kt
@@ -3,7 +3,6 @@
 import dev.cardamomlane.standin.lane.LaneInstallation
 import dev.cardamomlane.standin.lane.caller.CallerAnswer
 import dev.cardamomlane.standin.lane.caller.CallerRoute
-import dev.cardamomlane.standin.lane.caller.StatementIds
 import dev.cardamomlane.standin.lane.record.StatementChecks
 import java.io.IOException
 import kotlin.random.Random
@@ -17,13 +16,13 @@
     private val number: Int,
     private val key: String,
     private val history: LoadHistory,
-    private val ids: StatementIds,
     private val random: Random,
     oddShare: Double,
 ) {
     private val record = installation.record
     private val route = CallerRoute.entries[number % CallerRoute.entries.size]
     private val texts = OddText(random, oddShare)
+    private var connection: AutoCloseable? = null
     private var session: LoadSession? = null
 
     /** Blocks until [isOver] says so. */
@@ -111,15 +110,13 @@
             history.onRefused(opened.refusal ?: "closed")
             return null
         }
-        val ready = LoadSession(opened, name, texts, random, ids, history).also { session = it }
+        val ready = LoadSession(opened, name, texts, random, installation.ids, history).also { session = it }
         if (ready.prepare()) return ready
         history.onRefused("values or plans")
         endSession()
         return null
     }
 
-    private var connection: AutoCloseable? = null
-
     private fun endSession() {
         connection?.close()
         connection = null
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadHistory.kt
@@ -11,6 +11,7 @@
     private val sent = ConcurrentHashMap<String, SentStatement>()
     private val millisByOutcome = ConcurrentHashMap<Outcome, ConcurrentLinkedQueue<Long>>()
     private val refusals = ConcurrentHashMap<String, AtomicInteger>()
+    private val admitted = ConcurrentLinkedQueue<String>()
     private val surplus = ConcurrentLinkedQueue<String>()
 
     /** Must be called before [statement] is sent. */
@@ -31,6 +32,11 @@
         refusals.computeIfAbsent(reason) { AtomicInteger() }.incrementAndGet()
     }
 
+    /** A session was opened with [key], which no customer has. */
+    fun onAdmitted(key: String) {
+        admitted += key
+    }
+
     /** A caller got [message] while nothing was outstanding. */
     fun onUnaskedMessage(message: String) {
         surplus += message
@@ -43,5 +49,8 @@
 
     fun refusedSessions(): Map<String, Int> = refusals.mapValues { it.value.get() }
 
+    /** Returns the keys that no customer has but that opened a session. */
+    fun admittedKeys(): List<String> = admitted.toList()
+
     fun unaskedMessages(): List<String> = surplus.toList()
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadTrouble.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadTrouble.kt
@@ -18,15 +18,16 @@
     val repeatedShare: Double = 0.05,
     val errorShares: Map<String, Double> = emptyMap(),
 ) {
-    /** Makes the targets of [faults] behave so, with odd rows of [texts]. Must be called on their loop. */
-    fun begin(faults: AnswerFaults, texts: OddRows, isStateRebuilt: Boolean) {
+    /** Makes the targets of [faults] answer so. Must be called on their loop. */
+    fun begin(faults: AnswerFaults, isStateRebuilt: Boolean) {
         faults.repeatRates = repeatedKinds.associateWith { repeatedShare }
         faults.isStateRebuilt = isStateRebuilt
         faults.errorRates = errorShares
-        if (oddShare > 0) faults.rowsOf = texts::of
     }
 
     companion object {
+        /** All answers may come twice, beside a few errors. */
+        val STUTTER by lazy { LoadTrouble(repeatedKinds = AnswerKind.entries.toSet(), errorShares = FEW_ERRORS) }
         val FEW_ERRORS =
             mapOf(PlatformWords.BUSY to 0.01, PlatformWords.LAGGING to 0.005, PlatformWords.FAILED to 0.005)
         val MANY_ERRORS = mapOf(PlatformWords.BUSY to 0.06, PlatformWords.LAGGING to 0.02, PlatformWords.FAILED to 0.02)
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/StatementChecks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/StatementChecks.kt
@@ -2,42 +2,53 @@
 
 import dev.cardamomlane.standin.lane.line.Line
 import dev.cardamomlane.standin.lane.line.TextTrait
+import dev.cardamomlane.standin.lane.record.Violation.Rule
 import dev.cardamomlane.standin.lane.target.LineRequest
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 
-/** Compares what callers [sent] and were answered with what targets ran, by [history]. */
-internal class StatementChecks(sent: Collection<SentStatement>, private val history: GroupHistory) {
-    private val sentById = sent.associateBy(SentStatement::statementId)
-    private val operations = sent.groupBy(SentStatement::operation)
+/**
+ * Compares what callers sent and were answered with what targets ran, by [history]. May be made while both go on.
+ *
+ * @param sent returns all that callers have sent
+ */
+internal class StatementChecks(private val history: GroupHistory, sent: () -> Collection<SentStatement>) {
+    /** Taken before the sent statements, so that the statement of each run is among these. */
+    private val runs = history.runs()
+    private val sentById = sent().associateBy(SentStatement::statementId)
+    private val operations = sentById.values.groupBy(SentStatement::operation)
 
-    private val digests by lazy { history.runs().values.flatten().mapTo(HashSet(), StatementRun::digest) }
+    /** Taken after the sent statements, so that the run of each answer is among these. */
+    private val digests = history.runs().values.flatten().mapTo(HashSet(), StatementRun::digest)
 
     /** Returns all violations. */
-    fun violations(): List<Violation> = history.runs().flatMap { (id, runs) -> runs.flatMap { checkRun(id, it) } } +
-        sentById.values.mapNotNull(::mixed) +
-        operations.values.flatMap(::transactionsOf) +
-        sentById.values.filter(::isUnknownPlan).map { Violation(Violation.Rule.PINNED, "unknown plan", "$it") } +
-        sharedTransactions() +
-        operations.values.mapNotNull(::keptThoughRefused) +
-        history.repeatedCommits.filter(history::isKept).map { Violation(Violation.Rule.TWICE, "commits", it) }
+    fun violations(): List<Violation> = listOf(
+        runs.flatMap { (id, ofId) -> ofId.flatMap { checkRun(id, it) } },
+        sentById.values.mapNotNull(::mixed),
+        sentById.values.mapNotNull(::unknownPlan),
+        operations.values.flatMap(::movedTransactions),
+        sharedTransactions(),
+        operations.values.mapNotNull(::keptThoughRefused),
+        history.repeatedCommits.filter(history::isKept).map { Violation(Rule.TWICE, "commits", it, it) },
+    ).flatten()
 
     private fun checkRun(id: String, run: StatementRun): List<Violation> {
+        if (id == LineRequest.NO_ID) return listOf(Violation(Rule.UNASKED, "without an id", id, "$run"))
+        val sent = sentById[id] ?: return listOf(Violation(Rule.UNASKED, "id that nobody sent", id, "$run"))
         val content = run.content
-        if (id == LineRequest.NO_ID) return listOf(unasked("without an id", "", run))
-        val sent = sentById[id] ?: return listOf(unasked("id that nobody sent", "$id was not sent", run))
         return listOfNotNull(
-            unasked("text, ${sent.trait}", sent.toString(), run).takeIf {
-                textBesideName(content.text) !=
-                    textBesideName(sent.text)
-            },
-            unasked("plan, ${sent.trait}", sent.toString(), run).takeIf { content.plan != sent.plan },
-            Violation(Violation.Rule.PINNED, "values, ${TextTrait.ofAny(sent.values.values)}", "$sent ran as $run")
-                .takeIf { content.values != sent.values },
+            unasked("text", sent, run).takeIf { textBesideName(content.text) != textBesideName(sent.text) },
+            unasked("plan", sent, run).takeIf { content.plan != sent.plan },
+            otherValues(sent, run).takeIf { content.values != sent.values },
         )
     }
 
-    private fun unasked(cause: String, sent: String, run: StatementRun) =
-        Violation(Violation.Rule.UNASKED, cause, "$sent ran as $run")
+    private fun unasked(cause: String, sent: SentStatement, run: StatementRun) =
+        Violation(Rule.UNASKED, "$cause, ${sent.trait}", sent.statementId, "$sent ran as $run")
+
+    private fun otherValues(sent: SentStatement, run: StatementRun): Violation {
+        val trait = TextTrait.ofAny(sent.values.values)
+        return Violation(Rule.PINNED, "values, $trait", sent.statementId, "$sent ran as $run")
+    }
 
     /** The name of a prepared statement may differ. */
     private fun textBesideName(text: String): String {
@@ -49,40 +60,49 @@
         val answer = sent.answer?.takeIf { it.isDone && Line.word(sent.text) in RUN_WORDS } ?: return null
         val run = history.runsOf(sent.statementId).find { it.digest == answer.digest }
         val cause = when {
-            answer.digest == "-" -> "answer to a statement of a connection"
+            !answer.isRunByTarget -> "answer to a statement of a connection"
             run == null -> if (answer.digest in digests) "answer to another statement" else "unknown digest"
             run.content.rows != answer.rows -> "rows, ${TextTrait.ofAny(run.content.rows)}"
             else -> return null
         }
-        return Violation(Violation.Rule.MIXED, cause, "$sent, run: $run")
+        return Violation(Rule.MIXED, cause, sent.statementId, "$sent, run: $run")
+    }
+
+    private fun unknownPlan(sent: SentStatement): Violation? {
+        if (sent.plan == null || sent.answer?.code != PlatformWords.UNKNOWN_STATEMENT) return null
+        return Violation(Rule.PINNED, "unknown plan", sent.statementId, "$sent")
     }
 
     /** The acknowledged statements of a transaction run in one transaction of a target, and single ones in none. */
-    private fun transactionsOf(operation: List<SentStatement>): List<Violation> {
+    private fun movedTransactions(operation: List<SentStatement>): List<Violation> {
         val places = operation.mapNotNull { sent ->
             history.runsOf(sent.statementId).find { it.digest == sent.answer?.digest }?.let { sent to it.content }
         }
-        val known = places.firstOrNull { it.first.isInTransaction }?.second
+        val own = places.firstNotNullOfOrNull { (sent, content) -> content.transaction.takeIf { sent.isInTransaction } }
         return places.filter { (sent, content) ->
-            val expected = if (sent.isInTransaction) known else null
-            content.transaction != expected?.transaction || (expected != null && content.transaction == null)
-        }.map { (sent, content) -> Violation(Violation.Rule.PINNED, "transaction", "$sent ran in $content") }
+            if (sent.isInTransaction) {
+                content.transaction == null || content.transaction != own
+            } else {
+                content.transaction !=
+                    null
+            }
+        }.map { (sent, content) -> Violation(Rule.PINNED, "transaction", sent.statementId, "$sent ran in $content") }
     }
 
-    private fun isUnknownPlan(sent: SentStatement) =
-        sent.plan != null && sent.answer?.code == PlatformWords.UNKNOWN_STATEMENT
-
     /** A transaction of a target serves one operation. */
-    private fun sharedTransactions(): List<Violation> = history.runs().flatMap { (id, runs) ->
-        val operation = sentById[id]?.operation ?: return@flatMap emptyList()
-        runs.mapNotNull { run -> run.content.transaction?.let { it to operation } }
-    }.groupBy({ it.first }, { it.second }).filterValues { it.distinct().size > 1 }
-        .map { Violation(Violation.Rule.PINNED, "shared transaction", "${it.key} of ${it.value.distinct()}") }
+    private fun sharedTransactions(): List<Violation> = runs.flatMap { (id, ofId) ->
+        val sent = sentById[id]
+        if (sent == null) emptyList() else ofId.mapNotNull { run -> run.content.transaction?.let { it to sent } }
+    }.groupBy({ it.first }, { it.second })
+        .filterValues { users -> users.distinctBy(SentStatement::operation).size > 1 }
+        .map { (number, users) ->
+            Violation(Rule.PINNED, "shared transaction", users.first().statementId, "$number of $users")
+        }
 
     private fun keptThoughRefused(operation: List<SentStatement>): Violation? {
         val refused = operation.find { it.answer?.code in NOT_RUN_CODES } ?: return null
         val kept = operation.find { history.isKept(it.statementId) } ?: return null
-        return Violation(Violation.Rule.REFUSED, "${refused.answer?.code}", "$refused, kept: $kept")
+        return Violation(Rule.REFUSED, "${refused.answer?.code}", kept.statementId, "$refused, kept: $kept")
     }
 
     companion object {
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/Violation.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/Violation.kt
@@ -4,9 +4,10 @@
  * A broken rule.
  *
  * @property cause in a few words, the same for all violations of one kind
+ * @property statementId of the statement that broke it
  * @property text what was sent, run and answered
  */
-internal data class Violation(val rule: Rule, val cause: String, val text: String) {
+internal data class Violation(val rule: Rule, val cause: String, val statementId: String, val text: String) {
     /** What callers and targets must be able to rely on. */
     enum class Rule {
         /** A target ran something else than the caller of that statement sent. */
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/DisturbanceKind.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/DisturbanceKind.kt
@@ -22,6 +22,7 @@
     PROMOTION_LOST_ANSWERS(setOf(DisturbedPart.PROMOTION), isPlanned = false),
     REPLICA_LAG(setOf(DisturbedPart.REPLICAS), isPlanned = false),
     CLOCK_STEP(setOf(DisturbedPart.CLOCKS), isPlanned = false),
+    STUTTER(setOf(DisturbedPart.ANSWERS), isPlanned = false),
     HOT_CUSTOMER(setOf(DisturbedPart.CUSTOMERS), isPlanned = true),
     FOREIGN_ROWS(setOf(DisturbedPart.ROWS), isPlanned = true),
     KEY_WITHDRAWAL(setOf(DisturbedPart.KEYS), isPlanned = true),
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
@@ -4,6 +4,7 @@
 import dev.cardamomlane.standin.lane.cases.ForeignRows
 import dev.cardamomlane.standin.lane.host.ClockOffsets
 import dev.cardamomlane.standin.lane.host.HostProcess
+import dev.cardamomlane.standin.lane.load.LoadTrouble
 import dev.cardamomlane.standin.lane.store.StoreOutage
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 import java.util.concurrent.ConcurrentHashMap
@@ -75,6 +76,7 @@
             DisturbanceKind.PROMOTION_LOST_ANSWERS -> losePromotionAnswers()
             DisturbanceKind.REPLICA_LAG -> slowReplicas()
             DisturbanceKind.CLOCK_STEP -> stepClocks()
+            DisturbanceKind.STUTTER -> repeatAnswers()
             DisturbanceKind.HOT_CUSTOMER -> pressCustomer()
             DisturbanceKind.FOREIGN_ROWS -> writeForeignRow()
             DisturbanceKind.KEY_WITHDRAWAL -> withdrawKey()
@@ -187,6 +189,15 @@
         return targets.joinToString { it.name }
     }
 
+    /** All targets send some answers twice and refuse some statements. */
+    private fun repeatAnswers(): String {
+        val faults = platform.group.answerFaults
+        platform.onLoop { LoadTrouble.STUTTER.begin(faults, isStateRebuilt = random.nextBoolean()) }
+        Thread.sleep(random.nextLong(2_000, 12_000))
+        platform.onLoop { faults.heal() }
+        return ""
+    }
+
     private fun stepClocks(): String {
         val offsets = checkNotNull(clocks)
         val hosts = installation.hosts.map { it.plan.name }.shuffled(random).take(random.nextInt(1, 3))
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCaller.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCaller.kt
@@ -4,6 +4,8 @@
 import dev.cardamomlane.standin.lane.caller.CallerAnswer
 import dev.cardamomlane.standin.lane.caller.CallerRoute
 import dev.cardamomlane.standin.lane.caller.CallerSession
+import dev.cardamomlane.standin.lane.load.LoadSession
+import dev.cardamomlane.standin.lane.load.OddText
 import dev.cardamomlane.standin.lane.record.CallerCommit
 import java.io.IOException
 import kotlin.random.Random
@@ -26,7 +28,7 @@
 ) {
     private val route = CallerRoute.entries[number % CallerRoute.entries.size]
     private val record = installation.record
-    private var count = 0
+    private val texts = OddText(random, ODD_SHARE)
     private var sessionName = ""
 
     /** The first statement of the operation under way, and when it was sent. */
@@ -38,7 +40,7 @@
         while (!isOver()) {
             try {
                 sessionName = "s$number-${record.nowMillis}"
-                installation.connect(sessionName, host, customer, route.database, key).use { serve(it, isOver) }
+                installation.connect(sessionName, host, customer, route.database, key).use { open(it, isOver) }
             } catch (e: IOException) {
                 record.line("caller s$number: $e")
             }
@@ -46,73 +48,64 @@
         }
     }
 
-    private fun serve(session: CallerSession, isOver: () -> Boolean) {
+    private fun open(opened: CallerSession, isOver: () -> Boolean) {
+        if (!opened.isOpen) return history.sent.onRefused(opened.refusal ?: "closed")
+        val session = LoadSession(opened, sessionName, texts, random, installation.ids, history.sent)
+        if (session.prepare()) serve(session, isOver) else history.sent.onRefused("values or plans")
+    }
+
+    private fun serve(session: LoadSession, isOver: () -> Boolean) {
         while (session.isOpen && !isOver()) {
+            session.begin()
             val isLeft = when (random.nextInt(OPERATION_KINDS)) {
-                0 -> start(session, read(), isRead = true).isInTransaction
-                1 -> start(session, write(), isCommit = true).isInTransaction
+                0 -> start(isRead = true, action = session::read).isInTransaction
+                1 -> start(isCommit = true, action = session::write).isInTransaction
                 2 -> transact(session)
                 else -> readInTransaction(session)
             }
-            if (isLeft) return
+            if (isLeft || (random.nextInt(CHANGE_SHARE) == 0 && !session.change())) return
             Thread.sleep(random.nextLong(maxPauseMillis))
         }
     }
 
     /** Returns whether the session is left inside a transaction, which ends it. */
-    private fun transact(session: CallerSession): Boolean {
-        var answer = start(session, "BEGIN")
+    private fun transact(session: LoadSession): Boolean {
+        var answer = start { session.beginTransaction(isReadOnly = false) }
         var hasWritten = false
         repeat(random.nextInt(1, MAX_STATEMENTS)) {
             if (!answer.isDone) return answer.isInTransaction
             Thread.sleep(random.nextLong(MAX_STATEMENT_PAUSE_MILLIS))
             val isWrite = random.nextBoolean()
             hasWritten = hasWritten || isWrite
-            answer = run(session, if (isWrite) write() else read(), isRead = !isWrite)
+            answer = next(isRead = !isWrite, action = if (isWrite) session::write else session::read)
         }
         if (!answer.isDone) return answer.isInTransaction
         val isRolledBack = random.nextInt(ROLLBACK_SHARE) == 0
-        return run(
-            session,
-            if (isRolledBack) "ROLLBACK" else "COMMIT",
-            isCommit = !isRolledBack && hasWritten,
-        ).isInTransaction
+        val isCommit = !isRolledBack && hasWritten
+        return next(isCommit = isCommit) { session.endTransaction(!isRolledBack) }.isInTransaction
     }
 
-    private fun readInTransaction(session: CallerSession): Boolean {
-        var answer = start(session, "BEGIN READ")
+    private fun readInTransaction(session: LoadSession): Boolean {
+        var answer = start { session.beginTransaction(isReadOnly = true) }
         repeat(random.nextInt(1, MAX_STATEMENTS)) {
             if (!answer.isDone) return answer.isInTransaction
             Thread.sleep(random.nextLong(MAX_STATEMENT_PAUSE_MILLIS))
-            answer = run(session, read(), isRead = true)
+            answer = next(isRead = true, action = session::read)
         }
-        return if (answer.isDone) run(session, "COMMIT").isInTransaction else answer.isInTransaction
+        if (answer.isDone) answer = next { session.endTransaction(isCommit = true) }
+        return answer.isInTransaction
     }
 
-    private fun read() = "READ ${random.nextInt(ITEMS)}a"
-
-    private fun write() = "WRITE ${random.nextInt(ITEMS)}a v$number-${count++}"
-
     /** Runs the first statement of an operation. */
-    private fun start(
-        session: CallerSession,
-        text: String,
-        isRead: Boolean = false,
-        isCommit: Boolean = false,
-    ): CallerAnswer {
+    private fun start(isRead: Boolean = false, isCommit: Boolean = false, action: () -> CallerAnswer): CallerAnswer {
         operationId = ""
         operationMillis = record.nowMillis
-        return run(session, text, isRead, isCommit)
+        return next(isRead, isCommit, action)
     }
 
-    private fun run(
-        session: CallerSession,
-        text: String,
-        isRead: Boolean = false,
-        isCommit: Boolean = false,
-    ): CallerAnswer {
+    private fun next(isRead: Boolean = false, isCommit: Boolean = false, action: () -> CallerAnswer): CallerAnswer {
         val sentMillis = record.nowMillis
-        val answer = session.run(text)
+        val answer = action()
         val endedMillis = record.nowMillis
         if (operationId.isEmpty()) operationId = answer.statementId
         val hostName = installation.hosts[host].plan.name
@@ -125,7 +118,8 @@
     }
 
     private companion object {
-        const val ITEMS = 20
+        const val ODD_SHARE = 0.2
+        const val CHANGE_SHARE = 12
         const val OPERATION_KINDS = 4
         const val MAX_STATEMENTS = 6
         const val ROLLBACK_SHARE = 6
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
@@ -2,8 +2,10 @@
 
 import dev.cardamomlane.standin.lane.record.GroupHistory
 import dev.cardamomlane.standin.lane.record.StaleReads
+import dev.cardamomlane.standin.lane.record.StatementChecks
+import dev.cardamomlane.standin.lane.record.Violation
+import dev.cardamomlane.standin.lane.record.Violation.Rule
 import dev.cardamomlane.standin.lane.target.TargetLog
-import dev.cardamomlane.standin.lane.wire.PlatformWords
 
 /**
  * The rules that a soak checks after its end, when all is healed.
@@ -22,6 +24,7 @@
 ) {
     private val statements = history.statements()
     private val disturbances = history.disturbances()
+    private val violations = StatementChecks(group, history.sent::statements).violations()
 
     /** Returns a line for each broken rule, with the statements that broke it. */
     fun findings(): List<String> = listOf(
@@ -29,14 +32,20 @@
         finding("acknowledged writes were committed at an old primary after a promotion", lateWrites()),
         finding("writes were committed though their callers were told that they were not run", refusedWrites()),
         finding("writes stand twice in the log", group.repeatedCommits.filter { log.count(it) > 1 }),
+        finding("unknown keys were admitted", history.sent.admittedKeys()),
         finding("reads were too old", StaleReads(history.commits(), group).find(history.reads())),
-        finding("answers are not those of a target", mixedAnswers()),
+        finding("answers are not those of a target", (mixedAnswers() + broken(Rule.MIXED)).distinct()),
+        finding("statements ran otherwise than sent", broken(Rule.UNASKED)),
+        finding("statements ran with other values, or outside their own transaction", broken(Rule.PINNED)),
         finding("customers got more than their rate", overRate()),
         finding("statements were cut by a planned stop", cutStatements()),
         finding("statements ran with a withdrawn key", withdrawnKeyStatements()),
         finding("hosts do not serve after the last disturbance", idleHosts()),
     ).filterNotNull()
 
+    private fun broken(rule: Rule): List<String> =
+        violations.filter { it.rule == rule }.map(Violation::statementId).distinct()
+
     private fun finding(text: String, statementIds: List<String>): String? =
         if (statementIds.isEmpty()) null else "${statementIds.size} $text: ${statementIds.take(MAX_NAMED)}"
 
@@ -91,8 +100,9 @@
 
     private fun refusedWrites(): List<String> {
         val kept = log.statementIds()
-        return statements.filter { it.isCommit && it.answer.code in NOT_RUN_CODES }.map { it.answer.statementId }
-            .filter { it in kept }
+        val refused = statements.filter { it.isCommit && it.answer.code in StatementChecks.NOT_RUN_CODES }
+            .map { it.answer.statementId }
+        return (refused + broken(Rule.REFUSED)).distinct().filter { it in kept }
     }
 
     private fun cutStatements(): List<String> {
@@ -158,15 +168,5 @@
         /** How long after the grace time a cut still belongs to the stop. */
         private const val STOP_END_MILLIS = 1_000L
         private const val MAX_NAMED = 5
-
-        /** With these codes nothing of the caller's attempt is kept. */
-        private val NOT_RUN_CODES = setOf(
-            PlatformWords.BUSY,
-            PlatformWords.LAGGING,
-            PlatformWords.READ_ONLY,
-            PlatformWords.WRONG_TARGET,
-            PlatformWords.TOO_MANY_CONNECTIONS,
-            "ABORTED",
-        )
     }
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
@@ -5,6 +5,10 @@
 import dev.cardamomlane.standin.lane.cases.Verdict
 import dev.cardamomlane.standin.lane.host.ClockOffsets
 import dev.cardamomlane.standin.lane.host.SitePlan
+import dev.cardamomlane.standin.lane.line.Printable
+import dev.cardamomlane.standin.lane.load.KeyTrouble
+import dev.cardamomlane.standin.lane.load.OddRows
+import dev.cardamomlane.standin.lane.load.OddText
 import dev.cardamomlane.standin.lane.record.RunRecord
 import dev.cardamomlane.standin.lane.target.LaneTarget
 import picocli.CommandLine.Command
@@ -74,14 +78,16 @@
         Runtime.getRuntime().addShutdownHook(Thread(installation::close))
         val verdict = if (installation.start()) run(installation) else Verdict.NotRun("the hosts are not ready")
         record.line("$verdict")
-        println("seed $seed: $verdict")
+        println("seed $seed: ${Printable.of("$verdict")}")
         return verdict.exitCode
     }
 
     private fun run(installation: LaneInstallation): Verdict {
         val record = installation.record
         val history = SoakHistory()
-        val keys = installation.customers.map { it.keys.first() }
+        val keyTrouble = KeyTrouble(installation, history.sent).apply { begin() }
+        val keys = installation.customers.indices.map(keyTrouble::keyOf)
+        beginOddRows(installation)
         val hostNames = installation.hosts.map { it.plan.name }
         val clocks = if (hasClocks) ClockOffsets(installation.directory, hostNames) else null
         val endMillis = record.nowMillis + TimeUnit.SECONDS.toMillis(seconds)
@@ -94,6 +100,8 @@
                     SoakCaller(installation, number, number % hostCount, customer, keys[customer], history, random)
                 tasks.start { caller.run(areCallersOver::get) }
             }
+            val probe = tasks.start { keyTrouble.probe(areCallersOver::get) }
+            val watch = tasks.start { SoakWatch(installation, history).run(areCallersOver::get) }
             val occupied = ConcurrentHashMap.newKeySet<DisturbedPart>()
             val disturbers = List(DISTURBERS) { number ->
                 val random = Random(seed * SEED_STEP - 1 - number)
@@ -103,12 +111,19 @@
             awaitAll(disturbers)
             Thread.sleep(SoakChecks.RECOVERY_MILLIS + CALM_MILLIS)
             areCallersOver.set(true)
-            awaitAll(callers)
+            awaitAll(callers + probe + watch)
         }
         Thread.sleep(CALM_MILLIS)
         return check(installation, history)
     }
 
+    private fun beginOddRows(installation: LaneInstallation) {
+        val random = Random(seed)
+        val platform = installation.platform
+        val rows = OddRows(random, OddText(random, ODD_SHARE))
+        platform.onLoop { platform.group.answerFaults.rowsOf = rows::of }
+    }
+
     private fun awaitAll(tasks: List<Future<*>>) = tasks.forEach {
         it.get(END_TIMEOUT_SECONDS + seconds, TimeUnit.SECONDS)
     }
@@ -126,7 +141,8 @@
             "acknowledged, ${history.reads().count {
                 platform.history.readsOf(it.statementId).isNotEmpty()
             }} reads run, " +
-            "${kinds.values.sum()} disturbances $kinds"
+            "${kinds.values.sum()} disturbances $kinds, " +
+            "answers sent again ${platform.group.answerFaults.repeats}, errors made ${platform.group.answerFaults.errors}"
         return Verdict.of(findings.isNotEmpty(), (findings + summary).joinToString("; "))
     }
 
@@ -143,6 +159,7 @@
         const val CALLERS_PER_HOST = 3
         const val DISTURBERS = 3
         const val SEED_STEP = 1_000L
+        const val ODD_SHARE = 0.2
 
         /** How long callers go on once the hosts had time to recover, and replicas settle after that. */
         const val CALM_MILLIS = 3_000L
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakHistory.kt
@@ -1,11 +1,14 @@
 package dev.cardamomlane.standin.lane.soak
 
+import dev.cardamomlane.standin.lane.load.LoadHistory
 import dev.cardamomlane.standin.lane.record.CallerCommit
 import dev.cardamomlane.standin.lane.record.CallerRead
 import java.util.concurrent.ConcurrentLinkedQueue
 
 /** What callers sent and got in a soak, and what disturbed it. Safe for use by several threads. */
 internal class SoakHistory {
+    /** The texts, values and plans that callers sent, and their answers. */
+    val sent = LoadHistory()
     private val statements = ConcurrentLinkedQueue<SoakStatement>()
     private val acknowledged = ConcurrentLinkedQueue<CallerCommit>()
     private val sentReads = ConcurrentLinkedQueue<CallerRead>()
--- /dev/null
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakWatch.kt
@@ -0,0 +1,28 @@
+package dev.cardamomlane.standin.lane.soak
+
+import dev.cardamomlane.standin.lane.LaneInstallation
+import dev.cardamomlane.standin.lane.record.StatementChecks
+import dev.cardamomlane.standin.lane.record.Violation
+import dev.cardamomlane.standin.lane.record.Violation.Rule
+
+/** Writes violations into the record of a soak while it runs, so that they stand beside what happened then. */
+internal class SoakWatch(private val installation: LaneInstallation, private val history: SoakHistory) {
+    private val known = HashSet<Violation>()
+
+    /** Blocks until [isOver] says so. */
+    fun run(isOver: () -> Boolean) {
+        while (!isOver()) {
+            Thread.sleep(PERIOD_MILLIS)
+            val violations = StatementChecks(installation.platform.history, history.sent::statements).violations()
+            violations.filter { it.rule in LASTING_RULES && known.add(it) }
+                .forEach { installation.record.line("violation $it") }
+        }
+    }
+
+    private companion object {
+        const val PERIOD_MILLIS = 5_000L
+
+        /** What breaks these can't be undone, as a commit can be by a promotion. */
+        val LASTING_RULES = setOf(Rule.UNASKED, Rule.MIXED, Rule.PINNED)
+    }
+}
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/AnswerFaults.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/AnswerFaults.kt
@@ -58,12 +58,11 @@
         return null
     }
 
-    /** Ends all deviations. The counts remain. */
+    /** Ends repetitions and errors. The rows and the counts remain. */
     fun heal() {
         repeatRates = emptyMap()
         isStateRebuilt = false
         errorRates = emptyMap()
-        rowsOf = ::singleRow
     }
 
     private companion object {
--- a/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/record/StatementChecksTest.kt
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/record/StatementChecksTest.kt
@@ -13,7 +13,7 @@
     private val fixture = GroupFixture()
     private val sent = ArrayList<SentStatement>()
 
-    private fun violations() = StatementChecks(sent, fixture.history).violations().map { "${it.rule}" }
+    private fun violations() = StatementChecks(fixture.history) { sent }.violations().map { "${it.rule}" }
 
     private fun sent(
         id: String,
@@ -73,7 +73,7 @@
         sent += sent("2", "READ a", digest = "a.1")
         sent += sent("3", "READ a", digest = "a.9")
         sent += sent("4", "COMMIT", digest = "-")
-        val causes = StatementChecks(sent, fixture.history).violations().map(Violation::cause)
+        val causes = StatementChecks(fixture.history) { sent }.violations().map(Violation::cause)
         val expected = listOf("answer to another statement", "unknown digest", "answer to a statement of a connection")
         assertEquals(expected.sorted(), causes.sorted())
     }
--- a/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
@@ -3,7 +3,9 @@
 import dev.cardamomlane.standin.lane.caller.CallerAnswer
 import dev.cardamomlane.standin.lane.caller.CallerRoute
 import dev.cardamomlane.standin.lane.record.CallerCommit
+import dev.cardamomlane.standin.lane.record.SentStatement
 import dev.cardamomlane.standin.lane.target.GroupFixture
+import dev.cardamomlane.standin.lane.target.RunContent
 import dev.cardamomlane.standin.lane.target.TargetLog
 import dev.cardamomlane.standin.lane.wire.PlatformWords
 import kotlin.test.Test
@@ -45,7 +47,11 @@
         sentMillis: Long = 0,
         endedMillis: Long = sentMillis + 10,
         isCommit: Boolean = true,
-    ) = history.add(SoakStatement("h", "key", answer.statementId, isCommit, sentMillis, endedMillis, answer))
+        text: String = "",
+    ) {
+        history.sent.add(SentStatement(answer.statementId, text, answer.statementId, answer = answer))
+        history.add(SoakStatement("h", "key", answer.statementId, isCommit, sentMillis, endedMillis, answer))
+    }
 
     private fun done(id: String, sentMillis: Long = 0) {
         fixture.history.onRun("a", id, "a.1")
@@ -122,6 +128,51 @@
         assertContains(finding(), "1 answers are not those of a target: [r]")
     }
 
+    @Test
+    fun `a statement that ran otherwise than sent is found, also beside a disturbance`() {
+        disturb(DisturbanceKind.STUTTER, "", startMillis = 0, endMillis = 1_000)
+        fixture.history.onRun("a", "r", "a.2", RunContent("READ a"))
+        answered(CallerAnswer("r", null, digest = "a.2"), isCommit = false, text = "READ a b")
+        assertContains(finding(), "1 statements ran otherwise than sent: [r]")
+    }
+
+    @Test
+    fun `a statement that ran with other values is found, also beside a disturbance`() {
+        disturb(DisturbanceKind.TARGET_CRASH, "a", startMillis = 0, endMillis = 1_000)
+        fixture.history.onRun("a", "r", "a.2", RunContent("READ a", values = mapOf("v" to "x")))
+        answered(CallerAnswer("r", null, digest = "a.2"), isCommit = false, text = "READ a")
+        assertContains(finding(), "1 statements ran with other values, or outside their own transaction: [r]")
+    }
+
+    @Test
+    fun `other rows than a target sent are found, also beside a disturbance`() {
+        disturb(DisturbanceKind.STUTTER, "", startMillis = 0, endMillis = 1_000)
+        fixture.history.onRun("a", "r", "a.2", RunContent("READ a", rows = listOf("x")))
+        answered(CallerAnswer("r", null, digest = "a.2", rows = listOf("y")), isCommit = false, text = "READ a")
+        assertContains(finding(), "1 answers are not those of a target: [r]")
+    }
+
+    @Test
+    fun `a success of a read without a digest is found`() {
+        fixture.history.onRun("a", "r", "a.2", RunContent("READ a"))
+        answered(CallerAnswer("r", null, digest = "-"), isCommit = false, text = "READ a")
+        assertContains(finding(), "1 answers are not those of a target: [r]")
+    }
+
+    @Test
+    fun `a transaction that is kept though a statement of it was refused is found`() {
+        commit("c")
+        history.sent.add(SentStatement("w", "WRITE a x", "t", answer = CallerAnswer("w", PlatformWords.BUSY)))
+        history.sent.add(SentStatement("c", "COMMIT", "t", answer = CallerAnswer("c", "UNKNOWN")))
+        assertContains(finding(), "told that they were not run: [c]")
+    }
+
+    @Test
+    fun `a key that no customer has is found when it opens a session`() {
+        history.sent.onAdmitted("key more")
+        assertContains(finding(), "1 unknown keys were admitted: [key more]")
+    }
+
     @Test
     fun `more operations of a customer than its rate allows are found`() {
         repeat(567) { read("r$it", sentMillis = 0) }
