Links between hosts: an operation that does not fit into a message ends alone

Cause: a message above 8 MiB closes the connection between two hosts, and with it every operation on it. Session values and the rows of an answer have no bound of their own, so one caller with nine values or rows of 1 MiB ended the operations of all others: writes and commits under way got "outcome unknown", and a read with such rows was sent on to the next members.

Change: MessageSize tells before sending whether the texts fit. A first step that doesn't fit is refused as not run, a later one rolls its transaction back, and an answer becomes "outcome unknown" without rows. FakeHostLinks closes a connection that carries a longer message.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
@@ -52,11 +52,19 @@
     fun send(request: OperationRequest, refusedByHintCount: Int = 0) {
         val waiting = operations[request.operation] ?: return
         if (isClosed) return end(request.operation, waiting)
+        if (!MessageSize.fits(request)) return refuseTooLarge(request, waiting)
         waiting.sentAtMillis = timers.nowMillis()
         link.send(HostMessage(request = request, refusedByHintCount = refusedByHintCount))
         if (watch == null) watch = timers.after(WATCH_INTERVAL_MILLIS) { watch() }
     }
 
+    private fun refuseTooLarge(request: OperationRequest, waiting: Waiting) {
+        log.event("forward", "step_too_large", "to", member.name, "id", request.id)
+        val rollback = OperationRequest(request.operation, null, StepKind.ROLLBACK, "-", "", null, null)
+        finish(request.operation, rollback.takeIf { request.start == null })
+        waiting.listener.onLost(mayHaveArrived = false)
+    }
+
     /** Ends an operation; an answer that still arrives is dropped. [lastRequest] is sent without waiting for it. */
     fun finish(operation: Long, lastRequest: OperationRequest? = null) {
         operations.remove(operation)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessageCodec.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessageCodec.kt
@@ -4,6 +4,9 @@
 
 /** Encodes and decodes the messages on connections between hosts as CBOR. */
 public object HostMessageCodec {
+    /** The longest message; a longer one closes the connection on which it arrives. */
+    public const val MAX_BYTES: Int = 8 shl 20
+
     private val messages = CborMessages(HostMessage.serializer())
 
     /** Encodes [message], without any framing. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -107,10 +107,16 @@
             val error = answer.error ?: return runWaiting()
             return end(error.code, error.text)
         }
-        send(answer)
+        send(if (MessageSize.fits(answer.rows)) answer else withoutRows(answer))
         if (answer.state == TransactionState.IDLE) end()
     }
 
+    private fun withoutRows(answer: CallerAnswer) = answer.copy(
+        rows = emptyList(),
+        digest = null,
+        error = StatementError(ErrorCode.OUTCOME_UNKNOWN, "the rows don't fit into a message between hosts"),
+    )
+
     private fun send(answer: CallerAnswer) {
         val message = OperationAnswer(
             operation = number,
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -92,6 +92,7 @@
             message.answer?.let(::countAnswer)
             val bytes = HostMessageCodec.encode(message)
             onSent(TrafficKind.of(message), bytes.size)
+            if (bytes.size > MAX_MESSAGE_BYTES) return disconnectBoth()
             timers.after(DELAY_MILLIS) {
                 if (isPartitioned(from, to)) return@after
                 whenAwake(to) {
@@ -102,6 +103,13 @@
             }
         }
 
+        private fun disconnectBoth() {
+            timers.after(DELAY_MILLIS) {
+                disconnect()
+                other.disconnect()
+            }
+        }
+
         private fun countRequest(request: OperationRequest) {
             requestCounts.merge(from, 1, Int::plus)
             if (request.kind == StepKind.ROLLBACK) {
@@ -133,5 +141,8 @@
     private companion object {
         const val CONNECT_MILLIS = 1L
         const val DELAY_MILLIS = 1L
+
+        /** A longer message closes its connection. */
+        const val MAX_MESSAGE_BYTES = HostMessageCodec.MAX_BYTES
     }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -109,6 +109,9 @@
     var durationMillis: (TargetStatement) -> Long = { answersInMillis }
     val ran = ArrayList<String>()
 
+    /** The rows of the answer to a statement. */
+    var rowsOf: (TargetStatement) -> List<String> = { emptyList() }
+
     /** The committed writes, in the order of the log. */
     val log = ArrayList<String>()
 
@@ -251,7 +254,7 @@
     private fun rows(statement: TargetStatement): List<String> = if (statement is TargetStatement.Status) {
         listOf("${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}")
     } else {
-        emptyList()
+        target.rowsOf(statement)
     }
 
     private fun reply(rows: List<String> = emptyList(), digest: String? = null, error: StatementError? = null) {
