A transaction whose target has lost a prepared plan is aborted

In a transaction a caller was told that a statement was unknown which it had been told was prepared, if the target no longer knew the connection's name for it. A single statement is run on another connection then; a transaction can't be, and its caller could not know that nothing of it was kept.

The transaction is aborted now and its connection closed, so that it has no effect and the caller may try it again.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -195,6 +195,7 @@
         if (currentStep !== step) return
         if (answer == null) return onConnectionLost()
         if (step.statement == null) return onCommitted(answer)
+        if (answer.error?.code == ErrorCode.UNKNOWN_STATEMENT) return abort("the target has lost a prepared statement")
         if (answer.state != TransactionState.OPEN) isFailed = true
         deliver(Outcome.of(answer))
     }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/PreparedStatementTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/PreparedStatementTest.kt
@@ -156,6 +156,23 @@
         }
     }
 
+    /** Guards against a caller who is told that a statement is unknown that it was told is prepared. */
+    @Test
+    fun `a transaction whose target has lost a plan is aborted, and runs when it is tried again`() {
+        prepare("s", PreparedPlan(Access.WRITE, "q"))
+        primary.refusals += ErrorCode.UNKNOWN_STATEMENT
+
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        assertEquals(ErrorCode.ABORTED, execute("s", "item x")?.error?.code)
+        assertEquals(ErrorCode.ABORTED, fixture.ask(session, caller, Statement.Commit)?.error?.code)
+        assertTrue(primary.log.isEmpty() && fixture.targets.links.none { it.isInTransaction })
+
+        fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+        assertNull(execute("s", "item x")?.error)
+        assertNull(fixture.ask(session, caller, Statement.Commit)?.error)
+        assertEquals(listOf("w_q item x"), primary.log)
+    }
+
     /** Guards against endless plans at targets: callers prepare more than a connection keeps, and each runs as prepared. */
     @Test
     fun `more plans than a connection keeps run as prepared, also when they come again`() {
