Cases TEXTS and STUTTER: a run in which more than one operation in twenty fails breaks the case

Change: the share of operations that did not succeed is part of the verdict, with the bound of the stated target, one in twenty.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/LoadCase.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/LoadCase.kt
@@ -10,12 +10,13 @@
 import dev.cardamomlane.standin.lane.load.OddRows
 import dev.cardamomlane.standin.lane.load.OddText
 import dev.cardamomlane.standin.lane.record.StatementChecks
+import java.util.Locale
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
 
 /**
  * Callers run operations at all hosts while texts are odd or targets answer twice. Each statement must run as it was
- * sent, on its session's connection, and each success must be that of its statement.
+ * sent, on its session's connection, and each success must be that of its statement. One operation in twenty may fail.
  */
 internal class LoadCase(private val seed: Long, private val trouble: LoadTrouble) : ReviewCase {
     override val site = SitePlan.GUILD
@@ -62,8 +63,11 @@
         installation.record.line("$figures")
         if (!figures.isServed) return Verdict.Broken("nothing was served; $figures")
         val counts = violations.groupingBy { "${it.rule} (${it.cause})" }.eachCount().toSortedMap()
-        val text = "violations $counts; unknown keys admitted ${admittedKeys.size}; $figures"
-        return Verdict.of(violations.isNotEmpty() || admittedKeys.isNotEmpty(), text)
+        val failed = "%.1f %%".format(Locale.ROOT, figures.failedShare * PERCENT)
+        val text = "violations $counts; operations that did not succeed $failed; " +
+            "unknown keys admitted ${admittedKeys.size}; $figures"
+        val isServedBadly = figures.failedShare > MAX_FAILED_SHARE
+        return Verdict.of(violations.isNotEmpty() || admittedKeys.isNotEmpty() || isServedBadly, text)
     }
 
     private companion object {
@@ -71,5 +75,7 @@
         const val LENGTH_MILLIS = 30_000L
         const val SETTLE_MILLIS = 1_000L
         const val SEED_STEP = 1_000L
+        const val MAX_FAILED_SHARE = 0.05
+        const val PERCENT = 100
     }
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadFigures.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadFigures.kt
@@ -22,6 +22,13 @@
     /** Whether an operation succeeded. */
     val isServed: Boolean get() = millis.getValue(Outcome.DONE).isNotEmpty()
 
+    /** The share of the operations that did not succeed, of 1. */
+    val failedShare: Double
+        get() {
+            val doneCount = millis.getValue(Outcome.DONE).size
+            return 1 - doneCount.toDouble() / maxOf(1, millis.values.sumOf { it.size })
+        }
+
     override fun toString(): String {
         val reads = runs.count { it.content.text.startsWith("READ") || it.content.plan?.isWrite == false }
         val writes = runs.count { it.content.text.startsWith("WRITE") || it.content.plan?.isWrite == true }
