--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakWatch.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakWatch.kt
@@ -5,7 +5,7 @@
 import dev.cardamomlane.standin.lane.record.Violation
 import dev.cardamomlane.standin.lane.record.Violation.Rule
 
-/** Writes violations into the record of a soak while it runs, so that they stand beside what happened then. */
+/** Writes violations, and what was served, into the record of a soak while it runs. */
 internal class SoakWatch(private val installation: LaneInstallation, private val history: SoakHistory) {
     private val known = HashSet<Violation>()
 
@@ -16,6 +16,9 @@
             val violations = StatementChecks(installation.platform.history, history.sent::statements).violations()
             violations.filter { it.rule in LASTING_RULES && known.add(it) }
                 .forEach { installation.record.line("violation $it") }
+            val statements = history.statements()
+            val doneCount = statements.count { it.answer.isDone }
+            installation.record.line("$doneCount of ${statements.size} statements done, ${known.size} violations")
         }
     }
 
