--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/LoadCase.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/LoadCase.kt
@@ -64,7 +64,8 @@
         if (!figures.isServed) return Verdict.Broken("nothing was served; $figures")
         val counts = violations.groupingBy { "${it.rule} (${it.cause})" }.eachCount().toSortedMap()
         val failed = "%.1f %%".format(Locale.ROOT, figures.failedShare * PERCENT)
-        val text = "violations $counts; operations that did not succeed $failed; unknown keys admitted ${admittedKeys.size}; $figures"
+        val text = "violations $counts; operations that did not succeed $failed; " +
+            "unknown keys admitted ${admittedKeys.size}; $figures"
         val isServedBadly = figures.failedShare > MAX_FAILED_SHARE
         return Verdict.of(violations.isNotEmpty() || admittedKeys.isNotEmpty() || isServedBadly, text)
     }
