--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -31,8 +31,7 @@
     isForwarded: Boolean = false,
 ) {
     private val operations = OperationStarter(services, database, key, isForwarded)
-    private val values = LinkedHashMap<String, String>()
-    private val prepared = HashMap<String, PreparedPlan>()
+    private val state = CallerState()
     private val pending = ArrayDeque<IncomingStatement>()
     private var current: IncomingStatement? = null
     private var transaction: SessionTransaction? = null
@@ -63,17 +62,10 @@
 
     /** Takes over the session values, and the position of the last commit, of the session that an operation is from. */
     internal fun adopt(newValues: Map<String, String>, commit: LogPosition? = lastCommit) {
-        values.clear()
-        values.putAll(newValues)
+        state.adopt(newValues)
         lastCommit = commit
     }
 
-    /** Makes [plan] known, and returns the name by which it can be executed. */
-    internal fun adopt(plan: PreparedPlan): String {
-        prepared[plan.targetName] = plan
-        return plan.targetName
-    }
-
     /** Refuses the session with [ErrorCode.BUSY] and [text]. */
     internal fun refuse(text: String) {
         isClosed = true
@@ -155,7 +147,7 @@
     private fun handle(incoming: IncomingStatement) {
         val open = transaction
         when (val statement = incoming.statement) {
-            is Statement.Unreadable -> failMalformed(incoming, statement.reason)
+            is Statement.Unreadable -> fail(incoming, statement.code, statement.reason)
             is Statement.Commit -> endTransaction(incoming, open, ::commit)
             is Statement.Rollback -> endTransaction(incoming, open, ::rollback)
             else -> {
@@ -176,16 +168,10 @@
 
     private fun handleStatement(incoming: IncomingStatement, statement: Statement, open: SessionTransaction?) {
         when (statement) {
-            is Statement.SetValue -> {
-                values[statement.name] = statement.value
-                succeed(incoming)
-            }
-            is Statement.Prepare -> {
-                prepared[statement.name] = statement.plan
-                succeed(incoming)
-            }
+            is Statement.SetValue -> answerChange(incoming, state.set(statement.name, statement.value))
+            is Statement.Prepare -> answerChange(incoming, state.prepare(statement.name, statement.plan))
             is Statement.Close -> {
-                prepared.remove(statement.name)
+                state.close(statement.name)
                 succeed(incoming)
             }
             is Statement.Begin ->
@@ -196,17 +182,28 @@
                 open,
             )
             is Statement.Execute -> {
-                val plan = prepared[statement.name]
+                val plan = state.plan(statement.name)
                 if (plan == null) {
-                    fail(incoming, ErrorCode.UNKNOWN_STATEMENT, "no prepared statement ${statement.name}")
+                    fail(incoming, ErrorCode.UNKNOWN_STATEMENT, "no prepared statement of this name")
                 } else {
-                    run(incoming, ResolvedStatement(incoming.id, plan.access, statement.arguments, plan), open)
+                    execute(incoming, plan, statement.arguments, open)
                 }
             }
+            is Statement.ExecutePlan -> execute(incoming, statement.plan, statement.arguments, open)
             else -> failMalformed(incoming, "the statement is not allowed here")
         }
     }
 
+    private fun answerChange(incoming: IncomingStatement, isDone: Boolean) {
+        if (isDone) {
+            succeed(
+                incoming,
+            )
+        } else {
+            fail(incoming, ErrorCode.TOO_LARGE, "the session's values and statements exceed the limit")
+        }
+    }
+
     private fun begin(incoming: IncomingStatement, statement: Statement.Begin) {
         operations.startTransaction(
             context(incoming),
@@ -219,6 +216,15 @@
         )
     }
 
+    private fun execute(
+        incoming: IncomingStatement,
+        plan: PreparedPlan,
+        arguments: String,
+        open: SessionTransaction?,
+    ) {
+        run(incoming, ResolvedStatement(incoming.id, plan.access, arguments, plan), open)
+    }
+
     private fun run(incoming: IncomingStatement, statement: ResolvedStatement, open: SessionTransaction?) {
         if (open != null) {
             open.run(statement, stateFor(statement)) { outcome -> answer(incoming, outcome, open.route) }
@@ -249,7 +255,7 @@
     }
 
     private fun commit(incoming: IncomingStatement, open: SessionTransaction) {
-        open.commit(incoming.id, SessionState(values, emptyList())) { outcome ->
+        open.commit(incoming.id, SessionState(state.values, emptyList())) { outcome ->
             transaction = null
             if (outcome.error == null) recordCommit(outcome.position)
             answer(incoming, outcome, open.route)
@@ -266,8 +272,7 @@
         if (position != null) lastCommit = position
     }
 
-    private fun stateFor(statement: ResolvedStatement) =
-        SessionState(LinkedHashMap(values), listOfNotNull(statement.plan))
+    private fun stateFor(statement: ResolvedStatement) = SessionState(state.values, listOfNotNull(statement.plan))
 
     /** Answers an operation that was not started; closes the session when the configuration does not allow it. */
     private fun refuse(incoming: IncomingStatement, refusal: OperationRefusal) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -196,7 +196,8 @@
         } else if (statement.access == Access.WRITE) {
             hasWritten = true
         }
-        connection.execute(statement?.toTarget(after = null) ?: TargetStatement.Commit(step.id)) { answer ->
+        val sent = statement?.toTarget(connection, after = null) ?: TargetStatement.Commit(step.id)
+        connection.execute(sent) { answer ->
             target.finished(kind, endOf(answer, tookMillis = (services.timers.nowMillis() - sentAtMillis).toDouble()))
             if (statement == null) group.writes.resolved(this)
             onAnswer(step, answer)
@@ -207,6 +208,7 @@
         if (currentStep !== step) return
         if (answer == null) return onConnectionLost()
         if (step.statement == null) return onCommitted(answer)
+        if (answer.error?.code == ErrorCode.UNKNOWN_STATEMENT) return abort("the target has lost a prepared statement")
         if (answer.state != TransactionState.OPEN) isFailed = true
         deliver(Outcome.of(answer))
     }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.StatementError
 import dev.cardamomlane.engine.statement.TargetAnswer
@@ -129,6 +130,9 @@
     var durationMillis: (TargetStatement) -> Long = { answersInMillis }
     val ran = ArrayList<String>()
 
+    /** The prepared statements that ran, in order. */
+    val executed = ArrayList<ExecutedPlan>()
+
     /** The committed writes, in the order of the log. */
     val log = ArrayList<String>()
 
@@ -141,6 +145,12 @@
     /** Returns the code with which a statement is refused, own ones of the host included, or null to run it. */
     var refuses: (TargetStatement) -> ErrorCode? = { null }
 
+    /** The rows of the answer to a statement other than a status query. */
+    var rowsOf: (TargetStatement) -> List<String> = { emptyList() }
+
+    /** Decides which statements of the host itself are refused. */
+    var refusesOwn: (TargetStatement) -> Boolean = { false }
+
     /** How many of the next statements run but have their answer lost. */
     var lostAnswers = 0
 }
@@ -164,13 +174,17 @@
     private val underWay = ArrayList<TargetStatement>()
     private var lastDueMillis = 0L
     private var isClosed = false
-    private var isClosedByHost = false
+
+    /** True once the host has closed the connection. */
+    var isClosedByHost = false
+        private set
     private var state = TransactionState.IDLE
     private val openWrites = ArrayList<String>()
 
     /** True while a transaction is open at the target. */
     val isInTransaction: Boolean get() = !isClosed && state != TransactionState.IDLE
     val values = HashMap<String, String>()
+    val plans = FakePlans()
     val sent = ArrayList<TargetStatement>()
 
     /** The statements that were refused or have their answers lost. */
@@ -208,10 +222,17 @@
 
     private fun answer(statement: TargetStatement) {
         val refusal = target.refuses(statement) ?: nextRefusal(statement)
+        if (!statement.hasCallersId() && target.refusesOwn(statement)) return refuse(statement, ErrorCode.FAILED)
         if (refusal != null) return refuse(statement, refusal)
         val after = statement.after()
         if (after != null && target.position < after) return refuse(statement, ErrorCode.LAGGING)
         if (statement.needsPrimary() && !target.isPrimary) return refuse(statement, ErrorCode.READ_ONLY)
+        if (statement is TargetStatement.Execute && statement.executed() == null) {
+            return refuse(statement, ErrorCode.UNKNOWN_STATEMENT)
+        }
+        if (statement is TargetStatement.Prepare && !plans.prepare(statement.name, statement.plan)) {
+            return refuse(statement, ErrorCode.MALFORMED)
+        }
         run(statement)
         if (statement.hasCallersId() && target.lostAnswers > 0) {
             target.lostAnswers--
@@ -239,7 +260,7 @@
     private fun run(statement: TargetStatement) {
         when (statement) {
             is TargetStatement.Run -> runText(statement.text)
-            is TargetStatement.Execute -> runText("${statement.name} ${statement.arguments}")
+            is TargetStatement.Execute -> runPlan(checkNotNull(statement.executed()))
             is TargetStatement.Begin -> state = TransactionState.OPEN
             is TargetStatement.Commit -> {
                 target.ran += "COMMIT"
@@ -252,12 +273,25 @@
                 openWrites.clear()
             }
             is TargetStatement.SetValue -> values[statement.name] = statement.value
-            is TargetStatement.Reset -> values.clear()
+            is TargetStatement.Close -> plans.close(statement.name)
+            is TargetStatement.Reset -> {
+                values.clear()
+                plans.clear()
+            }
             is TargetStatement.Demote -> target.isPrimary = target.isPrimary && target.position.term >= statement.term
             else -> Unit
         }
     }
 
+    private fun runPlan(executed: ExecutedPlan) {
+        target.executed += executed
+        runText(
+            (if (executed.plan.access == Access.READ) "r_" else "w_") + "${executed.plan.shape} ${executed.arguments}",
+        )
+    }
+
+    private fun TargetStatement.Execute.executed(): ExecutedPlan? = plans.find(name, arguments)
+
     private fun runText(text: String) {
         target.ran += text
         onRun(target, text)
@@ -279,7 +313,7 @@
 
     private fun TargetStatement.needsPrimary(): Boolean = when (this) {
         is TargetStatement.Run -> isWrite(text)
-        is TargetStatement.Execute -> isWrite(name)
+        is TargetStatement.Execute -> executed()?.plan?.access == Access.WRITE
         is TargetStatement.Begin -> !isReadOnly
         is TargetStatement.Commit -> openWrites.isNotEmpty()
         else -> false
@@ -290,7 +324,7 @@
             listOf(
                 "${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}",
             )
-        else -> emptyList()
+        else -> target.rowsOf(statement)
     }
 
     private fun reply(
