target: a refusal that no setup statement has is certain after doubtful setup

Callers would see: writes with an unknown outcome at each change of primary, since nearly every write follows a SET or PREPARE whose success can't be told from an earlier one, and READ_ONLY then counted as possibly theirs. Targets refuse as replicas only writes, begins, and statements of a transaction that has lost its primary, which then can't commit either; and only an execution names an unknown statement.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/AnswerOrderTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/target/AnswerOrderTest.kt
@@ -63,6 +63,17 @@
         assertEquals(AnswerVerdict.FIRST, order.judge(read, failed(ErrorCode.FAILED)))
     }
 
+    /** Guards against writes whose outcome is called unknown although the replica that they reached refused them. */
+    @Test
+    fun `a refusal that no setup statement has is certain after doubtful setup`() {
+        for (code in listOf(ErrorCode.LAGGING, ErrorCode.READ_ONLY, ErrorCode.UNKNOWN_STATEMENT)) {
+            val fresh = AnswerOrder()
+            fresh.judge(set, answer())
+            assertEquals(AnswerVerdict.DOUBTFUL, fresh.judge(set, answer()))
+            assertEquals(AnswerVerdict.FIRST, fresh.judge(read, failed(code)), "$code")
+        }
+    }
+
     /** Guards against the refusal of a begin that is told of a later statement, which runs. */
     @Test
     fun `no error is certain after a doubtful begin until a statement has run`() {
