--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/AnswerOrder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/AnswerOrder.kt
@@ -149,8 +149,7 @@
         const val MAX_ANSWERS = 1_000
 
         /** Errors with which targets refuse work, but no statement that sets the connection up. */
-        val REFUSALS_OF_WORK =
-            setOf(ErrorCode.BUSY, ErrorCode.LAGGING, ErrorCode.READ_ONLY, ErrorCode.UNKNOWN_STATEMENT)
+        val REFUSALS_OF_WORK = setOf(ErrorCode.BUSY, ErrorCode.LAGGING, ErrorCode.READ_ONLY)
 
         /** What the fingerprints of different kinds of answers begin with. */
         const val DIGEST_SEED = 0x1000L
