transaction: no statement is sent behind a begin or a rollback that may not have run

Found by review. A read went out behind a begin whose answer may have been a repetition: if the target had refused that begin, the read ran outside its transaction and without the position that the begin asks for. And a rollback whose answer may have been a repetition gave its connection back, so that the next begin might have come inside the old transaction. Change: after a doubtful begin each transaction begins on another connection, whatever its first statement; after a doubtful rollback the connection is closed. Measured: 'a read waits for a begin that certainly succeeded' and 'a connection is not used again after a rollback that may not have run' failed before and pass now.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -123,7 +123,7 @@
                 answer == null -> onStartFailed(target, connection, work, isCounted = false)
                 !answer.isSuccess -> onBeginRefused(work, target, connection, answer)
                 isFinished -> connection.rollback(limitMillis = route.timeoutMillis)
-                connection.isBeginDoubtful && !step.isRead -> beginAnew(work, target, connection)
+                connection.isBeginDoubtful -> beginAnew(work, target, connection)
                 else -> {
                     work.end()
                     queued = null
@@ -154,7 +154,7 @@
         if (!isFinished) group.resubmit(work)
     }
 
-    /** Begins on another connection: on this one a write might be committed on its own. */
+    /** Begins on another connection: on this one a statement might run outside of a transaction. */
     private fun beginAnew(work: Work, target: Target, connection: PooledConnection) {
         services.log.request(work.id, "begin_doubtful", "target", target.entry.id.value)
         connection.close()
@@ -303,8 +303,6 @@
         val state: SessionState,
         val done: (Outcome) -> Unit,
     ) {
-        val isRead: Boolean get() = statement?.access == Access.READ
-
         /** True once a target may have got it. */
         var isSent = false
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
@@ -129,7 +129,7 @@
     }
 
     /**
-     * Rolls back and releases the connection, or closes it, which rolls back too, when there is no answer within
+     * Rolls back and releases the connection, or closes it, which rolls back too, when there is no certain answer within
      * [limitMillis].
      */
     internal fun rollback(limitMillis: Long) {
@@ -173,7 +173,8 @@
 
     private fun onDoubtful(first: Outstanding, answer: TargetAnswer) {
         if (first.statement is TargetStatement.Begin) target.answeredUncertainly(UncertainAnswer.DOUBTFUL_BEGIN)
-        first.done(answer)
+        // The transaction may still be open, so that the next one would begin inside it.
+        first.done(answer.takeUnless { first.statement is TargetStatement.Rollback })
     }
 
     override fun onClosed() {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -198,6 +198,12 @@
         }
     }
 
+    /** Rolls an open transaction back without an answer, as a target that limits transactions does. */
+    fun endTransaction() {
+        state = TransactionState.IDLE
+        openWrites.clear()
+    }
+
     /** Ends the connection, as a network failure does. */
     fun disconnect() {
         if (isClosed) return
