--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -12,9 +12,9 @@
 import dev.cardamomlane.engine.log.TrafficKind
 
 /**
- * The connections between hosts in memory. Every message passes the codec, and one that is too long ends its connection. While [isPartitioned] returns true for two
- * hosts, nothing arrives between them. [onSent] receives the kind and the bytes of each message. [whenAwake] calls an action
- * of the named host, at once or when its machine is no longer suspended.
+ * The connections between hosts in memory. Every message passes the codec, and one that is too long ends its connection.
+ * While [isPartitioned] returns true for two hosts, nothing arrives between them. [onSent] receives the kind and the bytes
+ * of each message. [whenAwake] calls an action of the named host, at once or when its machine is no longer suspended.
  */
 class FakeHostLinks(
     private val timers: TimerService,
@@ -89,7 +89,7 @@
         }
 
         private fun deliver(message: HostMessage) {
-            message.answer?.let(::countAnswer)
+            (message.answer ?: message.part?.answer)?.let(::countAnswer)
             val bytes = HostMessageCodec.encode(message)
             onSent(TrafficKind.of(message), bytes.size)
             if (bytes.size > HostMessageCodec.MAX_BYTES) return fail()
