Case TEXTS: odd names of values and prepared statements

Cause: the callers' names were always plain, though names are fields as all others. Change: each session chooses its names once, odd ones among them.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadSession.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadSession.kt
@@ -20,6 +20,10 @@
     private val ids: StatementIds,
     private val history: LoadHistory,
 ) {
+    /** The names of the plans, of which only [writePlan] writes. */
+    private val planNames = List(PLANS) { texts.inner("s$it") }.distinct()
+    private val writePlan = planNames.last()
+    private val valueNames = List(VALUE_NAMES) { texts.inner("v$it") }
     private var values = emptyMap<String, String>()
     private var plans = emptyMap<String, PreparedPlan>()
     private var operationCount = 0
@@ -35,17 +39,17 @@
     }
 
     /** Gives the session values and plans. Returns false if that fails, which ends the session. */
-    fun prepare(): Boolean = (0 until random.nextInt(1, MAX_VALUES)).all { set() } && PLAN_NAMES.all(::prepare)
+    fun prepare(): Boolean = (0 until random.nextInt(1, MAX_VALUES)).all { set() } && planNames.all(::prepare)
 
     /** Changes a value or a plan. Returns false if that fails, which ends the session. */
     fun change(): Boolean {
         if (random.nextBoolean()) return set()
-        val name = PLAN_NAMES.random(random)
+        val name = planNames.random(random)
         return run("CLOSE $name").isDone && prepare(name)
     }
 
     private fun set(): Boolean {
-        val name = "v${random.nextInt(VALUE_NAMES)}"
+        val name = valueNames.random(random)
         val value = texts.last("x${random.nextInt(VALUES)}")
         val answer = run("SET $name $value")
         if (answer.isDone) values = values + (name to value)
@@ -53,7 +57,7 @@
     }
 
     private fun prepare(name: String): Boolean {
-        val plan = PreparedPlan(isWrite = name == WRITE_PLAN, texts.last("q${random.nextInt(SHAPES)}"))
+        val plan = PreparedPlan(isWrite = name == writePlan, texts.last("q${random.nextInt(SHAPES)}"))
         val answer = run("PREPARE $name ${if (plan.isWrite) "WRITE" else "READ"} ${plan.shape}")
         if (answer.isDone) plans = plans + (name to plan)
         return answer.isDone
@@ -66,12 +70,12 @@
 
     fun read(): CallerAnswer = when {
         random.nextBoolean() -> run("READ ${lastItem()}")
-        else -> PLAN_NAMES.filter { it != WRITE_PLAN }.random(random).let { run("EXEC $it ${lastItem()}", plans[it]) }
+        else -> planNames.filter { it != writePlan }.random(random).let { run("EXEC $it ${lastItem()}", plans[it]) }
     }
 
     fun write(): CallerAnswer {
         val fields = "${texts.inner(item())} ${texts.last("$name-${dataCount++}")}"
-        return if (random.nextBoolean()) run("WRITE $fields") else run("EXEC $WRITE_PLAN $fields", plans[WRITE_PLAN])
+        return if (random.nextBoolean()) run("WRITE $fields") else run("EXEC $writePlan $fields", plans[writePlan])
     }
 
     private fun lastItem() = texts.last(item())
@@ -88,8 +92,7 @@
     }
 
     private companion object {
-        const val WRITE_PLAN = "s2"
-        val PLAN_NAMES = listOf("s1", WRITE_PLAN, "s3")
+        const val PLANS = 3
         const val MAX_VALUES = 4
         const val VALUE_NAMES = 3
         const val VALUES = 5
