--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -13,6 +13,7 @@
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.statement.TargetStatement
 import dev.cardamomlane.engine.statement.TransactionState
+import dev.cardamomlane.engine.target.ConnectionNeed
 import dev.cardamomlane.engine.target.PooledConnection
 import dev.cardamomlane.engine.target.StatementEnd
 import dev.cardamomlane.engine.target.Target
@@ -122,6 +123,7 @@
                 answer == null -> onStartFailed(target, connection, work, isCounted = false)
                 !answer.isSuccess -> onBeginRefused(work, target, connection, answer)
                 isFinished -> connection.rollback(limitMillis = route.timeoutMillis)
+                connection.isBeginDoubtful && !step.isRead -> beginAnew(work, target, connection)
                 else -> {
                     work.end()
                     queued = null
@@ -145,10 +147,21 @@
     private fun onStartFailed(target: Target, connection: PooledConnection, work: Work, isCounted: Boolean = true) {
         starting = null
         if (isCounted) target.finished(BEGIN, endOf(answer = null, tookMillis = null))
+        if (connection.ambiguousError != null) {
+            work.avoid(target, services.timers.nowMillis() + BEGIN_REFUSED_AVOID_MILLIS)
+        }
         connection.close()
         if (!isFinished) group.resubmit(work)
     }
 
+    /** Begins on another connection: on this one a write might be committed on its own. */
+    private fun beginAnew(work: Work, target: Target, connection: PooledConnection) {
+        services.log.request(work.id, "begin_doubtful", "target", target.entry.id.value)
+        connection.close()
+        work.connectionNeed = ConnectionNeed.NO_TRANSACTION
+        group.resubmit(work)
+    }
+
     private fun onBeginRefused(work: Work, target: Target, connection: PooledConnection, answer: TargetAnswer) {
         connection.releaseOrClose(answer)
         services.log.request(work.id, "begin_denied", "target", target.entry.id.value, "code", answer.error?.code)
@@ -183,7 +196,8 @@
         } else if (statement.access == Access.WRITE) {
             hasWritten = true
         }
-        connection.execute(statement?.toTarget(after = null) ?: TargetStatement.Commit(step.id)) { answer ->
+        val sent = statement?.toTarget(connection, after = null) ?: TargetStatement.Commit(step.id)
+        connection.execute(sent) { answer ->
             target.finished(kind, endOf(answer, tookMillis = (services.timers.nowMillis() - sentAtMillis).toDouble()))
             if (statement == null) group.writes.resolved(this)
             onAnswer(step, answer)
@@ -194,6 +208,7 @@
         if (currentStep !== step) return
         if (answer == null) return onConnectionLost()
         if (step.statement == null) return onCommitted(answer)
+        if (answer.error?.code == ErrorCode.UNKNOWN_STATEMENT) return abort("the target has lost a prepared statement")
         if (answer.state != TransactionState.OPEN) isFailed = true
         deliver(Outcome.of(answer))
     }
@@ -288,6 +303,8 @@
         val state: SessionState,
         val done: (Outcome) -> Unit,
     ) {
+        val isRead: Boolean get() = statement?.access == Access.READ
+
         /** True once a target may have got it. */
         var isSent = false
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.engine.session.SessionState
+import dev.cardamomlane.engine.statement.PreparedPlan
 import dev.cardamomlane.engine.statement.StatementError
 import dev.cardamomlane.engine.statement.TargetAnswer
 import dev.cardamomlane.engine.statement.TargetStatement
@@ -23,8 +24,8 @@
 ) : TargetLinkListener {
     private lateinit var link: TargetLink
     private val outstanding = ArrayDeque<Outstanding>()
-    private val values = HashMap<String, String>()
-    private val prepared = HashSet<String>()
+    private val order = AnswerOrder()
+    private val current = ConnectionState()
     internal val dialedAtMillis: Long = timers.nowMillis()
     internal var isOpen = false
         private set
@@ -36,6 +37,23 @@
     internal var lastUsedMillis = dialedAtMillis
         private set
 
+    /** True once a statement on the connection had an error. */
+    internal val hasError: Boolean get() = order.hasError
+
+    /** True once a status query or a demotion was sent on the connection. */
+    internal var hasReported = false
+        private set
+
+    /** True while the target may have refused to begin the newest transaction. */
+    internal val isBeginDoubtful: Boolean get() = order.isBeginDoubtful
+
+    /** True when the connection has had so many answers that it is to be closed once it is free. */
+    internal val isWornOut: Boolean get() = order.isFull
+
+    /** The error that closed the connection, since it may have been a second answer; null for every other end. */
+    internal var ambiguousError: StatementError? = null
+        private set
+
     /** When the oldest statement without an answer was sent, or null when all are answered. */
     internal val oldestSentMillis: Long? get() = outstanding.firstOrNull()?.sentAtMillis
 
@@ -43,33 +61,37 @@
         link = dialer.dial(target.entry, customerName, this)
     }
 
-    /** The number of statements that bring the connection to [state], or much more when it must be reset first. */
-    internal fun setupCost(state: SessionState): Int {
-        val missing = state.values.count { (name, value) -> values[name] != value }
-        val hasOthers = values.keys.any { it !in state.values }
-        return if (hasOthers) RESET_COST + state.values.size else missing
+    internal fun meets(need: ConnectionNeed): Boolean = when (need) {
+        ConnectionNeed.ANY -> true
+        ConnectionNeed.NO_ERROR -> !order.hasError
+        ConnectionNeed.NO_TRANSACTION -> !order.hasError && !order.hasBegun
     }
 
+    /** The number of statements that bring the connection to [state], or much more when it must be reset first. */
+    internal fun setupCost(state: SessionState): Int = current.setupCost(state)
+
+    /** The name of [plan], which the last [prepareFor] has prepared. */
+    internal fun nameOf(plan: PreparedPlan): String = current.nameOf(plan)
+
     /**
      * Sets the session values and prepares the plans of [state]; calls [done] with true when all of that succeeded.
-     *
-     * Session values that are not in [state] are dropped by a reset, which drops the prepared statements too.
+     * Otherwise the connection is closed, since it is not known what is set on it.
      */
     public fun prepareFor(state: SessionState, done: (Boolean) -> Unit) {
-        val steps = ArrayList<TargetStatement>()
-        if (values.keys.any { it !in state.values }) {
-            steps += TargetStatement.Reset
-            values.clear()
-            prepared.clear()
-        }
-        for ((name, value) in state.values) {
-            if (values[name] != value) steps += TargetStatement.SetValue(name, value)
-        }
-        values.putAll(state.values)
-        for (plan in state.plans) {
-            if (prepared.add(plan.targetName)) steps += TargetStatement.Prepare(plan)
+        val steps = current.stepsTo(state)
+        if (steps.isEmpty()) return done(true)
+        var remaining = steps.size
+        var isPrepared = true
+        for (step in steps) {
+            execute(step) { answer ->
+                if (answer?.isSuccess == true) current.onSuccess(step) else isPrepared = false
+                remaining--
+                if (remaining == 0) {
+                    if (!isPrepared) close()
+                    done(isPrepared)
+                }
+            }
         }
-        executeAll(steps, done)
     }
 
     /** Sends [statement]; calls [done] with the whole answer, or with null when the connection ends before it. */
@@ -79,7 +101,8 @@
             return
         }
         lastUsedMillis = timers.nowMillis()
-        outstanding.addLast(Outstanding(lastUsedMillis, done))
+        if (statement is TargetStatement.Status || statement is TargetStatement.Demote) hasReported = true
+        outstanding.addLast(Outstanding(statement, lastUsedMillis, done))
         link.send(statement)
     }
 
@@ -128,8 +151,28 @@
     }
 
     override fun onAnswer(answer: TargetAnswer) {
-        val first = outstanding.removeFirstOrNull() ?: return close()
-        target.answered(first.sentAtMillis, answer)
+        when (order.judge(outstanding.firstOrNull()?.statement, answer)) {
+            AnswerVerdict.FIRST -> {
+                val first = outstanding.removeFirst()
+                target.answered(first.sentAtMillis, answer)
+                first.done(answer)
+            }
+            AnswerVerdict.DOUBTFUL -> onDoubtful(outstanding.removeFirst(), answer)
+            AnswerVerdict.REPETITION -> target.answeredUncertainly(UncertainAnswer.REPETITION)
+            AnswerVerdict.AMBIGUOUS -> {
+                target.answeredUncertainly(UncertainAnswer.AMBIGUOUS)
+                ambiguousError = answer.error
+                close()
+            }
+            AnswerVerdict.UNEXPECTED -> {
+                target.answeredUncertainly(UncertainAnswer.UNEXPECTED)
+                close()
+            }
+        }
+    }
+
+    private fun onDoubtful(first: Outstanding, answer: TargetAnswer) {
+        if (first.statement is TargetStatement.Begin) target.answeredUncertainly(UncertainAnswer.DOUBTFUL_BEGIN)
         first.done(answer)
     }
 
@@ -142,22 +185,5 @@
         for (statement in unanswered) statement.done(null)
     }
 
-    private fun executeAll(steps: List<TargetStatement>, done: (Boolean) -> Unit) {
-        if (steps.isEmpty()) return done(true)
-        var remaining = steps.size
-        var isPrepared = true
-        for (step in steps) {
-            execute(step) { answer ->
-                isPrepared = isPrepared && answer?.isSuccess == true
-                remaining--
-                if (remaining == 0) done(isPrepared)
-            }
-        }
-    }
-
-    private class Outstanding(val sentAtMillis: Long, val done: (TargetAnswer?) -> Unit)
-
-    private companion object {
-        const val RESET_COST = 100
-    }
+    private class Outstanding(val statement: TargetStatement, val sentAtMillis: Long, val done: (TargetAnswer?) -> Unit)
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.StatementError
 import dev.cardamomlane.engine.statement.TargetAnswer
@@ -29,9 +30,22 @@
     /** Called with each caller's statement and commit whose connection is closed before its answer is due. */
     var onCut: (FakeLink, TargetStatement) -> Unit = { _, _ -> }
 
+    /** Called with each answer that a target sends to a statement, the first time it does. */
+    var onAnswer: (FakeLink, TargetStatement, TargetAnswer) -> Unit = { _, _, _ -> }
+
+    /** The text of each caller's statement that ran, or `COMMIT`, by its digest. */
+    private val textsByDigest = HashMap<String, String>()
+
     /** Every connection that was dialed, in order. */
     val links = ArrayList<FakeLink>()
 
+    /** The text of the caller's statement that a target ran under [digest], or null when none gave that digest. */
+    fun textOf(digest: String?): String? = textsByDigest[digest]
+
+    /** A new digest, of one length, since tests bound the bytes of messages that hold one. */
+    private fun digestOf(text: String): String =
+        textsByDigest.size.toString(DIGEST_RADIX).padStart(DIGEST_LENGTH, '0').also { textsByDigest[it] = text }
+
     fun target(id: String): FakeTarget = targetsById.getOrPut(id) { FakeTarget(id) }
 
     /** The network paths that lose everything, as `host/target`. */
@@ -67,12 +81,14 @@
             timers = timers,
             onRun = { ran, text -> onRun(ran, text) },
             onCommit = { committed, text -> onCommit(committed, text) },
+            newDigest = ::digestOf,
             isPartitioned = isPartitioned,
             host = host,
             whenAwake = whenAwake,
         )
         link.onBegin = { statement, millis -> onBegin(link, statement, millis) }
         link.onCut = { onCut(link, it) }
+        link.onAnswer = { statement, answer -> onAnswer(link, statement, answer) }
         links += link
         link.open()
         return link
@@ -89,6 +105,11 @@
             connectionCount = 0,
         )
     }
+
+    private companion object {
+        const val DIGEST_RADIX = 36
+        const val DIGEST_LENGTH = 6
+    }
 }
 
 /**
@@ -109,6 +130,9 @@
     var durationMillis: (TargetStatement) -> Long = { answersInMillis }
     val ran = ArrayList<String>()
 
+    /** The prepared statements that ran, in order. */
+    val executed = ArrayList<ExecutedPlan>()
+
     /** The committed writes, in the order of the log. */
     val log = ArrayList<String>()
 
@@ -118,6 +142,15 @@
     /** Every statement of a caller is refused with this code while it is set. */
     var refusesWith: ErrorCode? = null
 
+    /** Returns the code with which a statement is refused, own ones of the host included, or null to run it. */
+    var refuses: (TargetStatement) -> ErrorCode? = { null }
+
+    /** The rows of the answer to a statement other than a status query. */
+    var rowsOf: (TargetStatement) -> List<String> = { emptyList() }
+
+    /** Decides which statements of the host itself are refused. */
+    var refusesOwn: (TargetStatement) -> Boolean = { false }
+
     /** How many of the next statements run but have their answer lost. */
     var lostAnswers = 0
 }
@@ -130,21 +163,28 @@
     private val timers: TimerService,
     private val onRun: (FakeTarget, String) -> Unit = { _, _ -> },
     private val onCommit: (FakeTarget, String) -> Unit = { _, _ -> },
+    private val newDigest: (String) -> String = { it },
     private val isPartitioned: () -> Boolean = { false },
     val host: String = "",
     private val whenAwake: (() -> Unit) -> Unit = { it() },
 ) : TargetLink {
     var onBegin: (TargetStatement, Long) -> Unit = { _, _ -> }
     var onCut: (TargetStatement) -> Unit = {}
+    var onAnswer: (TargetStatement, TargetAnswer) -> Unit = { _, _ -> }
     private val underWay = ArrayList<TargetStatement>()
+    private var lastDueMillis = 0L
     private var isClosed = false
-    private var isClosedByHost = false
+
+    /** True once the host has closed the connection. */
+    var isClosedByHost = false
+        private set
     private var state = TransactionState.IDLE
     private val openWrites = ArrayList<String>()
 
     /** True while a transaction is open at the target. */
     val isInTransaction: Boolean get() = !isClosed && state != TransactionState.IDLE
     val values = HashMap<String, String>()
+    val plans = FakePlans()
     val sent = ArrayList<TargetStatement>()
 
     /** The statements that were refused or have their answers lost. */
@@ -172,37 +212,55 @@
             underWay += statement
             onBegin(statement, millis)
         }
-        timers.after(millis) {
+        val nowMillis = timers.nowMillis()
+        lastDueMillis = maxOf(lastDueMillis, nowMillis + millis)
+        timers.after(lastDueMillis - nowMillis) {
             underWay -= statement
             if (!isClosed && !target.isSilent && !isPartitioned()) answer(statement)
         }
     }
 
     private fun answer(statement: TargetStatement) {
-        val refusal =
-            if (statement.hasCallersId()) target.refusals.removeFirstOrNull() ?: target.refusesWith else null
+        val refusal = target.refuses(statement) ?: nextRefusal(statement)
+        if (!statement.hasCallersId() && target.refusesOwn(statement)) return refuse(statement, ErrorCode.FAILED)
         if (refusal != null) return refuse(statement, refusal)
         val after = statement.after()
         if (after != null && target.position < after) return refuse(statement, ErrorCode.LAGGING)
         if (statement.needsPrimary() && !target.isPrimary) return refuse(statement, ErrorCode.READ_ONLY)
+        if (statement is TargetStatement.Execute && statement.executed() == null) {
+            return refuse(statement, ErrorCode.UNKNOWN_STATEMENT)
+        }
+        if (statement is TargetStatement.Prepare && !plans.prepare(statement.name, statement.plan)) {
+            return refuse(statement, ErrorCode.MALFORMED)
+        }
         run(statement)
         if (statement.hasCallersId() && target.lostAnswers > 0) {
             target.lostAnswers--
             unserved += statement
             return
         }
-        reply(digest = "digest", rows = rows(statement))
+        reply(statement, digest = digest(statement), rows = rows(statement))
+    }
+
+    private fun nextRefusal(statement: TargetStatement): ErrorCode? =
+        if (statement.hasCallersId()) target.refusals.removeFirstOrNull() ?: target.refusesWith else null
+
+    private fun digest(statement: TargetStatement): String? = when (statement) {
+        is TargetStatement.Run -> newDigest(statement.text)
+        is TargetStatement.Execute -> newDigest("${statement.name} ${statement.arguments}")
+        is TargetStatement.Commit -> newDigest("COMMIT")
+        else -> null
     }
 
     private fun refuse(statement: TargetStatement, code: ErrorCode) {
         unserved += statement
-        reply(error = StatementError(code, "test"))
+        reply(statement, error = StatementError(code, "test"))
     }
 
     private fun run(statement: TargetStatement) {
         when (statement) {
             is TargetStatement.Run -> runText(statement.text)
-            is TargetStatement.Execute -> runText("${statement.name} ${statement.arguments}")
+            is TargetStatement.Execute -> runPlan(checkNotNull(statement.executed()))
             is TargetStatement.Begin -> state = TransactionState.OPEN
             is TargetStatement.Commit -> {
                 target.ran += "COMMIT"
@@ -215,12 +273,25 @@
                 openWrites.clear()
             }
             is TargetStatement.SetValue -> values[statement.name] = statement.value
-            is TargetStatement.Reset -> values.clear()
+            is TargetStatement.Close -> plans.close(statement.name)
+            is TargetStatement.Reset -> {
+                values.clear()
+                plans.clear()
+            }
             is TargetStatement.Demote -> target.isPrimary = target.isPrimary && target.position.term >= statement.term
             else -> Unit
         }
     }
 
+    private fun runPlan(executed: ExecutedPlan) {
+        target.executed += executed
+        runText(
+            (if (executed.plan.access == Access.READ) "r_" else "w_") + "${executed.plan.shape} ${executed.arguments}",
+        )
+    }
+
+    private fun TargetStatement.Execute.executed(): ExecutedPlan? = plans.find(name, arguments)
+
     private fun runText(text: String) {
         target.ran += text
         onRun(target, text)
@@ -242,20 +313,38 @@
 
     private fun TargetStatement.needsPrimary(): Boolean = when (this) {
         is TargetStatement.Run -> isWrite(text)
-        is TargetStatement.Execute -> isWrite(name)
+        is TargetStatement.Execute -> executed()?.plan?.access == Access.WRITE
         is TargetStatement.Begin -> !isReadOnly
         is TargetStatement.Commit -> openWrites.isNotEmpty()
         else -> false
     }
 
-    private fun rows(statement: TargetStatement): List<String> = if (statement is TargetStatement.Status) {
-        listOf("${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}")
-    } else {
-        emptyList()
+    private fun rows(statement: TargetStatement): List<String> = when (statement) {
+        is TargetStatement.Status, is TargetStatement.Demote ->
+            listOf(
+                "${if (target.isPrimary) "primary" else "replica"} ${target.position.term} ${target.position.offset}",
+            )
+        else -> target.rowsOf(statement)
     }
 
-    private fun reply(rows: List<String> = emptyList(), digest: String? = null, error: StatementError? = null) {
+    private fun reply(
+        statement: TargetStatement,
+        rows: List<String> = emptyList(),
+        digest: String? = null,
+        error: StatementError? = null,
+    ) {
         val answer = TargetAnswer(rows, digest, error, state, target.position)
+        onAnswer(statement, answer)
+        deliver(answer)
+    }
+
+    /** Sends [answer] once more; with the present state and position if [isRebuilt]. */
+    fun repeat(answer: TargetAnswer, isRebuilt: Boolean = false) {
+        if (isClosed || target.isSilent || isPartitioned()) return
+        deliver(if (isRebuilt) answer.copy(state = state, position = target.position) else answer)
+    }
+
+    private fun deliver(answer: TargetAnswer) {
         whenAwake { if (!isClosedByHost) listener.onAnswer(answer) }
     }
 
