Targets of the cases may refuse a begin too

Cause: only reads, writes and commits were refused, so a begin that is refused beside answers that come twice was not met.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadTrouble.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/load/LoadTrouble.kt
@@ -10,7 +10,7 @@
  * @property oddShare the share of the fields and rows whose text is odd, of 1
  * @property repeatedKinds the answers that targets may send twice
  * @property repeatedShare the share of these answers that come twice, of 1
- * @property errorShares the shares of reads, writes and commits that are refused with each code, of 1
+ * @property errorShares the shares of begins, reads, writes and commits that are refused with each code, of 1
  */
 internal data class LoadTrouble(
     val oddShare: Double = 0.0,
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/AnswerFaults.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/AnswerFaults.kt
@@ -15,7 +15,7 @@
     /** Whether the state and the position of a repetition are those of its own moment. */
     var isStateRebuilt = false
 
-    /** The share of reads, writes and commits that are refused with each code. */
+    /** The share of begins, reads, writes and commits that are refused with each code. */
     var errorRates: Map<String, Double> = emptyMap()
 
     /** Returns the rows of a read of [data], which is null if the item was never written. */
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
@@ -91,7 +91,7 @@
 
     private fun run(request: LineRequest, statement: LineStatement) {
         when (statement) {
-            is LineStatement.Begin -> begin(statement.isReadOnly)
+            is LineStatement.Begin -> runOrFail(request) { begin(statement.isReadOnly) }
             LineStatement.Commit -> commit(request)
             LineStatement.Rollback -> done { transaction = null }
             is LineStatement.Read -> read(request, statement.item)
