--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -71,14 +71,14 @@
 
     private fun run(open: CallerSession, request: OperationRequest) {
         request.values?.let { open.adopt(it) }
-        open.onStatement(request.id, statement(open, request))
+        open.onStatement(request.id, statement(request))
     }
 
-    private fun statement(open: CallerSession, request: OperationRequest): Statement {
+    private fun statement(request: OperationRequest): Statement {
         if (request.kind == StepKind.COMMIT) return Statement.Commit
         val access = if (request.kind == StepKind.READ) Access.READ else Access.WRITE
         val shape = request.shape ?: return Statement.Run(access, request.text)
-        return Statement.Execute(open.adopt(PreparedPlan(access, shape)), request.text)
+        return Statement.ExecutePlan(PreparedPlan(access, shape), request.text)
     }
 
     /** Ends the operation without an answer: a transaction is rolled back, a statement in the queue is dropped. */
@@ -122,7 +122,10 @@
             position = answer.position,
             configurationVersion = sessions.configurationVersion,
         )
-        link.send(HostMessage(answer = message, hint = sessions.hint(start)))
+        val hint = sessions.hint(start)
+        val parts = AnswerPart.of(message)
+        if (parts.isEmpty()) return link.send(HostMessage(answer = message, hint = hint))
+        for (part in parts) link.send(HostMessage(part = part, hint = hint.takeIf { part.answer != null }))
     }
 
     private fun end(code: ErrorCode, text: String) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/Statement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/statement/Statement.kt
@@ -21,6 +21,9 @@
     /** Runs the prepared statement [name] with [arguments]. */
     public data class Execute(val name: String, val arguments: String) : Statement
 
+    /** Runs [plan], which the session on the host that has the caller has prepared, with [arguments]. */
+    public data class ExecutePlan(val plan: PreparedPlan, val arguments: String) : Statement
+
     /** Sets a session value. */
     public data class SetValue(val name: String, val value: String) : Statement
 
@@ -30,6 +33,6 @@
     /** Drops the prepared statement [name]. */
     public data class Close(val name: String) : Statement
 
-    /** A statement that can't be parsed, and why. */
-    public data class Unreadable(val reason: String) : Statement
+    /** A statement that can't be parsed or sent to a target, and why. */
+    public data class Unreadable(val reason: String, val code: ErrorCode = ErrorCode.MALFORMED) : Statement
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -6,12 +6,15 @@
 import dev.cardamomlane.engine.forward.HostLinkListener
 import dev.cardamomlane.engine.forward.HostMessage
 import dev.cardamomlane.engine.forward.HostMessageCodec
+import dev.cardamomlane.engine.forward.OperationAnswer
+import dev.cardamomlane.engine.forward.OperationRequest
+import dev.cardamomlane.engine.forward.StepKind
 import dev.cardamomlane.engine.log.TrafficKind
 
 /**
- * The connections between hosts in memory. Every message passes the codec. While [isPartitioned] returns true for two
- * hosts, nothing arrives between them. [onSent] receives the kind and the bytes of each message. [whenAwake] calls an action
- * of the named host, at once or when its machine is no longer suspended.
+ * The connections between hosts in memory. Every message passes the codec, and one that is too long ends its connection.
+ * While [isPartitioned] returns true for two hosts, nothing arrives between them. [onSent] receives the kind and the bytes
+ * of each message. [whenAwake] calls an action of the named host, at once or when its machine is no longer suspended.
  */
 class FakeHostLinks(
     private val timers: TimerService,
@@ -29,6 +32,9 @@
     /** The requests that arrived at each host. */
     val requestCounts = HashMap<String, Int>()
 
+    /** The answers that a host sent for an operation of which every step had its answer already. */
+    val surplusAnswers = ArrayList<OperationAnswer>()
+
     fun add(name: String, host: ProxyHost) {
         hosts[name] = host
     }
@@ -69,6 +75,7 @@
         var isClosed = false
         private var isOpen = false
         private val unsent = ArrayList<HostMessage>()
+        private val unansweredSteps = HashMap<Long, Int>()
 
         fun open() {
             isOpen = true
@@ -82,18 +89,42 @@
         }
 
         private fun deliver(message: HostMessage) {
+            (message.answer ?: message.part?.answer)?.let(::countAnswer)
             val bytes = HostMessageCodec.encode(message)
             onSent(TrafficKind.of(message), bytes.size)
+            if (bytes.size > HostMessageCodec.MAX_BYTES) return fail()
             timers.after(DELAY_MILLIS) {
                 if (isPartitioned(from, to)) return@after
                 whenAwake(to) {
                     if (other.isClosed) return@whenAwake
-                    if (message.request != null) requestCounts.merge(to, 1, Int::plus)
+                    message.request?.let(other::countRequest)
                     other.listener.onMessage(checkNotNull(HostMessageCodec.decode(bytes)))
                 }
             }
         }
 
+        private fun fail() {
+            timers.after(DELAY_MILLIS) {
+                other.disconnect()
+                disconnect()
+            }
+        }
+
+        private fun countRequest(request: OperationRequest) {
+            requestCounts.merge(from, 1, Int::plus)
+            if (request.kind == StepKind.ROLLBACK) {
+                unansweredSteps.remove(request.operation)
+            } else {
+                unansweredSteps.merge(request.operation, 1, Int::plus)
+            }
+        }
+
+        private fun countAnswer(answer: OperationAnswer) {
+            val left = (unansweredSteps.remove(answer.operation) ?: 0) - 1
+            if (left < 0) surplusAnswers += answer
+            if (left > 0) unansweredSteps[answer.operation] = left
+        }
+
         override fun close() {
             if (isClosed) return
             isClosed = true
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.forward
 
 import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.engine.ExecutedPlan
 import dev.cardamomlane.engine.FakeCaller
 import dev.cardamomlane.engine.HostFixture
 import dev.cardamomlane.engine.session.CallerSession
@@ -52,7 +53,7 @@
         fixture.ask(session, caller, write)
 
         assertEquals(TransactionState.IDLE, caller.answers.single().state)
-        assertEquals("digest", caller.answers.single().digest)
+        assertEquals("WRITE 1 x", fixture.targets.textOf(caller.answers.single().digest))
         assertNull(fixture.hosts[forwarder].group(DatabaseId("g")))
     }
 
@@ -80,6 +81,24 @@
         assertTrue(fixture.targets.links.any { it.values == mapOf("a" to "b") })
     }
 
+    /** Guards against a plan or a value that changes on the way to the serving host. */
+    @Test
+    fun `plans and session values of any character run at another host as the caller sent them`() {
+        val all = (0..255).joinToString("") { it.toChar().toString() }
+        val session = open()
+        for (value in listOf("x", "x ", "", all, "a b")) {
+            for (plan in Access.entries.map { PreparedPlan(it, "q WRITE $value") }) {
+                primary.executed.clear()
+                fixture.ask(session, caller, Statement.SetValue("name$all", value))
+                fixture.ask(session, caller, Statement.Prepare("s$all", plan))
+                fixture.ask(session, caller, Statement.Execute("s$all", "item $value"))
+
+                assertEquals(listOf(ExecutedPlan(plan, "item $value")), primary.executed)
+                assertTrue(fixture.targets.links.any { it.values == mapOf("name$all" to value) })
+            }
+        }
+    }
+
     @Test
     fun `a transaction runs on one connection and commits`() {
         val session = open()
@@ -89,7 +108,7 @@
         fixture.ask(session, caller, read)
         val answer = fixture.ask(session, caller, Statement.Commit)
 
-        assertEquals("digest", answer?.digest)
+        assertEquals("COMMIT", fixture.targets.textOf(answer?.digest))
         assertEquals(TransactionState.IDLE, answer?.state)
         assertEquals(listOf("WRITE 1 x", "READ 1", "COMMIT"), primary.ran)
         assertEquals(1, fixture.targets.links.count { link -> link.sent.any { it is TargetStatement.Begin } })
@@ -131,7 +150,7 @@
         fixture.timers.advance(400)
 
         assertNull(caller.answers.last().error)
-        assertEquals("digest", caller.answers.last().digest)
+        assertEquals("READ 1", fixture.targets.textOf(caller.answers.last().digest))
     }
 
     @Test
@@ -143,7 +162,7 @@
         val answer = fixture.ask(session, caller, read, millis = 450)
 
         assertNull(answer?.error)
-        assertEquals("digest", answer?.digest)
+        assertEquals("READ 1", fixture.targets.textOf(answer?.digest))
     }
 
     @Test
@@ -283,7 +302,7 @@
         val answer = alone.ask(session, caller, write)
 
         assertNull(answer?.error)
-        assertEquals("digest", answer?.digest)
+        assertEquals("WRITE 1 x", alone.targets.textOf(answer?.digest))
     }
 
     /** Guards against a forwarded transaction that goes on because only one of its two hosts knows the configuration. */
