DynamoDB table: a row of another request's answer is not believed

Cause: answers of the service carry no id that its client compares, and a get returned whatever row its answer held. With answers one behind, a row was read as another one, and a scan returned rows of another prefix.

Change: get and scan fail as unavailable when a row has not the key or prefix that was asked for.

--- a/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/DynamoPlatformTable.kt
+++ b/cardamomlane-store/src/main/kotlin/dev/cardamomlane/store/DynamoPlatformTable.kt
@@ -31,6 +31,7 @@
                 client.getItem { it.tableName(settings.tableName).key(DynamoItems.key(key)).consistentRead(true) }
             }
         }.flatMap { if (it.hasItem()) usable(DynamoItems.row(it.item())) else Mono.empty() }
+            .doOnNext { requireAsked(it.key == key, it) }
     }
 
     override fun scan(prefix: String): Flux<Row> {
@@ -45,10 +46,20 @@
                 .mapNotNull<Row> { item ->
                     DynamoItems.row(item).onLeft { log.warn("table: row ${it.key} is left out", it.reason) }.getOrNull()
                 }
+                .doOnNext { requireAsked(it.key.startsWith(prefix), it) }
                 .collectList()
         }.flatMapIterable { it }
     }
 
+    /** Answers carry no id: one that came twice would be taken for the next request's. */
+    private fun requireAsked(isAsked: Boolean, row: Row) {
+        if (!isAsked) {
+            throw PlatformUnavailableException(
+                "table $settings: the answer holds ${row.key} of another request",
+            )
+        }
+    }
+
     private fun usable(read: Either<UnusableRow, Row>): Mono<Row> =
         read.fold({ Mono.error(it.toException()) }, { Mono.just(it) })
 
--- a/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/DynamoPlatformTableTest.kt
+++ b/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/DynamoPlatformTableTest.kt
@@ -61,6 +61,24 @@
         }
     }
 
+    /** Guards against a row that is taken for another one because the answers of a connection are one behind. */
+    @Test
+    fun `an answer with rows of another request is not believed`() {
+        write(ConditionalWrite(key("a"), 0, "1"))
+        write(ConditionalWrite(key("b"), 0, "2"))
+        adapter.scan(key("a")).blockLast()
+        server.isOneBehind = true
+        assertFailsWith<PlatformUnavailableException> { adapter.scan(key("b")).blockLast() }
+
+        server.isOneBehind = false
+        get("a")
+        server.isOneBehind = true
+        assertFailsWith<PlatformUnavailableException> { get("b") }
+
+        server.isOneBehind = false
+        assertEquals("2", get("b")?.value)
+    }
+
     @Test
     fun `settings show no credentials`() {
         val settings = DynamoSettings(server.endpoint, "cardamomlane", "local", "access", "secret")
--- a/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/FakeDynamoServer.kt
+++ b/cardamomlane-store/src/test/kotlin/dev/cardamomlane/store/FakeDynamoServer.kt
@@ -25,6 +25,13 @@
     @Volatile
     var requestsToIgnore = 0
 
+    /** While true, each request gets the answer to the one before. */
+    @Volatile
+    var isOneBehind = false
+
+    @Volatile
+    private var lastAnswer = Answer(200, buildJsonObject { })
+
     private val server =
         HttpServer.create().host("127.0.0.1").port(0).handle { request, response ->
             handle(request, response)
@@ -41,6 +48,7 @@
         return request.receive().aggregate().asString()
             .flatMap { answer(operation, Json.parseToJsonElement(it).jsonObject) }
             .onErrorResume { Mono.just(Answer(500, error("InternalServerError"))) }
+            .map { answer -> if (isOneBehind) lastAnswer else answer.also { lastAnswer = it } }
             .flatMap { response.status(it.status).sendString(Mono.just(it.body.toString())).then() }
     }
 
