--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
@@ -167,7 +167,7 @@
     fun `a write waits for a begin that certainly succeeded`() {
         ask(Statement.Begin(isReadOnly = false))
         ask(read(1))
-        ask(Statement.Rollback)
+        ask(Statement.Commit)
         val begun = sentTo { it is TargetStatement.Begin }
         primary.refuses = { if (it is TargetStatement.Begin) ErrorCode.BUSY else null }
         ask(Statement.Begin(isReadOnly = false), millis = 1)
@@ -189,7 +189,7 @@
     fun `a read waits for a begin that certainly succeeded`() {
         ask(Statement.Begin(isReadOnly = true))
         ask(read(1))
-        ask(Statement.Rollback)
+        ask(Statement.Commit)
         val begun = sentTo { it is TargetStatement.Begin }
         primary.refuses = { if (it is TargetStatement.Begin) ErrorCode.BUSY else null }
         ask(Statement.Begin(isReadOnly = true), millis = 1)
@@ -197,7 +197,7 @@
         fixture.timers.advance(1)
         begun.repeat()
         fixture.timers.advance(8)
-        assertEquals(listOf("READ 1", "ROLLBACK"), primary.ran)
+        assertEquals(listOf("READ 1", "COMMIT"), primary.ran)
         primary.refuses = { null }
         fixture.timers.advance(200)
 
