--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -195,13 +195,8 @@
     }
 
     private fun answerChange(incoming: IncomingStatement, isDone: Boolean) {
-        if (isDone) {
-            succeed(
-                incoming,
-            )
-        } else {
-            fail(incoming, ErrorCode.TOO_LARGE, "the session's values and statements exceed the limit")
-        }
+        if (isDone) return succeed(incoming)
+        fail(incoming, ErrorCode.TOO_LARGE, "the session's values and statements exceed the limit")
     }
 
     private fun begin(incoming: IncomingStatement, statement: Statement.Begin) {
@@ -216,14 +211,8 @@
         )
     }
 
-    private fun execute(
-        incoming: IncomingStatement,
-        plan: PreparedPlan,
-        arguments: String,
-        open: SessionTransaction?,
-    ) {
+    private fun execute(incoming: IncomingStatement, plan: PreparedPlan, arguments: String, open: SessionTransaction?) =
         run(incoming, ResolvedStatement(incoming.id, plan.access, arguments, plan), open)
-    }
 
     private fun run(incoming: IncomingStatement, statement: ResolvedStatement, open: SessionTransaction?) {
         if (open != null) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/AnswerOrder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/AnswerOrder.kt
@@ -23,7 +23,7 @@
     private var hasPlainSuccess = false
     private var answerCount = 0
 
-    /** True once an error was an answer to a statement: an equal one after it could be told apart from nothing. */
+    /** True once a statement had an error: whether a later equal one is its repetition can't be told. */
     var hasError = false
         private set
 
@@ -69,11 +69,8 @@
 
     private fun judgeRun(statement: TargetStatement?, answer: TargetAnswer, digest: String): AnswerVerdict {
         if (!seen.add(fingerprint(digest, DIGEST_SEED))) return AnswerVerdict.REPETITION
-        if (statement == null ||
-            !(statement.isCallers() || statement.isFitting(answer))
-        ) {
-            return AnswerVerdict.UNEXPECTED
-        }
+        val isExpected = statement != null && (statement.isCallers() || statement.isFitting(answer))
+        if (!isExpected) return AnswerVerdict.UNEXPECTED
         doubt = Doubt.NONE
         return AnswerVerdict.FIRST
     }
