--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTarget.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTarget.kt
@@ -40,9 +40,6 @@
     /** The rows of the answer to a statement other than a status query. */
     var rowsOf: (TargetStatement) -> List<String> = { emptyList() }
 
-    /** Decides which statements of the host itself are refused. */
-    var refusesOwn: (TargetStatement) -> Boolean = { false }
-
     /** How many of the next statements run but have their answer lost. */
     var lostAnswers = 0
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -185,7 +185,6 @@
 
     private fun answer(statement: TargetStatement) {
         val refusal = target.refuses(statement) ?: nextRefusal(statement)
-        if (!statement.hasCallersId() && target.refusesOwn(statement)) return refuse(statement, ErrorCode.FAILED)
         if (refusal != null) return refuse(statement, refusal)
         val after = statement.after()
         if (after != null && target.position < after) return refuse(statement, ErrorCode.LAGGING)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/PreparedStatementTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/PreparedStatementTest.kt
@@ -143,7 +143,8 @@
             val fixture = HostFixture()
             val session = fixture.open(caller)
             val refusals = ArrayDeque(listOf(true))
-            fixture.targets.target("p").refusesOwn = { isRefused(it) && refusals.removeFirstOrNull() == true }
+            fixture.targets.target("p").refuses =
+                { if (isRefused(it) && refusals.removeFirstOrNull() == true) ErrorCode.FAILED else null }
             fixture.ask(session, caller, Statement.SetValue("a", "b"))
             fixture.ask(session, caller, Statement.Prepare("s", PreparedPlan(Access.READ, "q")))
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SecondAnswersTest.kt
@@ -162,19 +162,24 @@
         assertEquals(ErrorCode.OUTCOME_UNKNOWN, caller.answers.last().error?.code)
     }
 
-    /** Guards against a write that is committed on its own, outside the transaction that its caller rolls back. */
-    @Test
-    fun `a write waits for a begin that certainly succeeded`() {
-        ask(Statement.Begin(isReadOnly = false))
+    /** Sends [statement] while the target refuses its transaction's begin, and the answer to an earlier begin comes again. */
+    private fun sendBehindDoubtfulBegin(isReadOnly: Boolean, statement: Statement) {
+        ask(Statement.Begin(isReadOnly))
         ask(read(1))
         ask(Statement.Commit)
         val begun = sentTo { it is TargetStatement.Begin }
         primary.refuses = { if (it is TargetStatement.Begin) ErrorCode.BUSY else null }
-        ask(Statement.Begin(isReadOnly = false), millis = 1)
-        session.onStatement("w", write(2))
+        ask(Statement.Begin(isReadOnly), millis = 1)
+        session.onStatement("behind", statement)
         fixture.timers.advance(1)
         begun.repeat()
         fixture.timers.advance(8)
+    }
+
+    /** Guards against a write that is committed on its own, outside the transaction that its caller rolls back. */
+    @Test
+    fun `a write waits for a begin that certainly succeeded`() {
+        sendBehindDoubtfulBegin(isReadOnly = false, statement = write(2))
         primary.refuses = { null }
         fixture.timers.advance(200)
 
@@ -187,16 +192,7 @@
     /** Guards against a read outside its transaction, at a target that may lack the commits which its begin asked for. */
     @Test
     fun `a read waits for a begin that certainly succeeded`() {
-        ask(Statement.Begin(isReadOnly = true))
-        ask(read(1))
-        ask(Statement.Commit)
-        val begun = sentTo { it is TargetStatement.Begin }
-        primary.refuses = { if (it is TargetStatement.Begin) ErrorCode.BUSY else null }
-        ask(Statement.Begin(isReadOnly = true), millis = 1)
-        session.onStatement("r", read(2))
-        fixture.timers.advance(1)
-        begun.repeat()
-        fixture.timers.advance(8)
+        sendBehindDoubtfulBegin(isReadOnly = true, statement = read(2))
         assertEquals(listOf("READ 1", "COMMIT"), primary.ran)
         primary.refuses = { null }
         fixture.timers.advance(200)
