--- a/review/standin-2/Backend.java
+++ b/review/standin-2/Backend.java
@@ -180,6 +180,7 @@
     private final List<Group.Commit> writes = new ArrayList<>();
     private OutputStream out;
     private char state = 'I';
+    private String tenant;
     private boolean isReadOnly;
 
     Session(Socket socket) {
@@ -197,6 +198,7 @@
           send("ERR WRONGNODE " + id + "\r\n");
           return;
         }
+        tenant = start[2];
         work(12);
         send("READY I " + position() + "\r\n");
         for (String line = readLine(in); line != null; line = readLine(in)) {
@@ -305,6 +307,7 @@
     private String read(String queryId, String item) throws InterruptedException {
       work(group.workMillis);
       group.ran.add(queryId);
+      group.tenantOf.put(queryId, tenant);
       group.record.line("run " + queryId + " READ at " + id);
       StringBuilder rows = new StringBuilder();
       for (String row : group.rowsOf.apply(item)) rows.append("ROW ").append(row).append("\r\n");
@@ -314,6 +317,7 @@
     private String write(String queryId, String text) throws InterruptedException {
       if (!isPrimary || state == 'T' && isReadOnly) return error("READONLY", id);
       work(group.workMillis);
+      group.tenantOf.put(queryId, tenant);
       writes.add(new Group.Commit(queryId, text));
       if (state == 'T') return "DONE " + id + "." + ++digests + "\r\n";
       return commit(queryId);
--- a/review/standin-2/Group.java
+++ b/review/standin-2/Group.java
@@ -1,6 +1,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
@@ -30,6 +31,9 @@
   /** The ids of the reads that a backend has run. */
   final Set<String> ran = ConcurrentHashMap.newKeySet();
 
+  /** The tenant in whose name a backend ran a read or write, by the id of the statement. */
+  final Map<String, String> tenantOf = new ConcurrentHashMap<>();
+
   /** What a read of an item returns. */
   Function<String, List<String>> rowsOf = item -> List.of("v" + item);
 
