--- a/review/standin-2/Backend.java
+++ b/review/standin-2/Backend.java
@@ -131,10 +131,14 @@
 
   private String position() {
     synchronized (group) {
-      return term + "." + applied();
+      return positionOf(applied());
     }
   }
 
+  private String positionOf(int count) {
+    return count == 0 && group.hasNoPositionWhenEmpty ? "-" : term + "." + count;
+  }
+
   private void accept() {
     while (true) {
       try {
@@ -276,7 +280,7 @@
           return "DONE -\r\n";
         case "STATUS":
           synchronized (group) {
-            return "ROW " + (isPrimary ? "primary " : "replica ") + term + " " + term + "." + log.size() + " 0 0 "
+            return "ROW " + (isPrimary ? "primary " : "replica ") + term + " " + positionOf(log.size()) + " 0 0 "
                 + (group.slots - slots.availablePermits()) + " " + sockets.size() + "\r\nDONE -\r\n";
           }
         case "DEMOTE":
--- a/review/standin-2/Group.java
+++ b/review/standin-2/Group.java
@@ -28,6 +28,9 @@
   int maxConnections = 34;
   long newestTerm = 1;
 
+  /** True when the position of a log without commits is "-", else it is the term and 0. */
+  boolean hasNoPositionWhenEmpty;
+
   /** The ids of the reads that a backend has run. */
   final Set<String> ran = ConcurrentHashMap.newKeySet();
 
