Review scripts: an exception ends them with 2, and the records say what was sent

Cause: the JVM ends with 1 after an uncaught exception, which the scripts would have told as a broken rule.

Change: a broken rule has an exit code of its own, which the scripts turn into 1; two records get lines of what clients send.

--- a/review/standin-2/FreshDatabase.java
+++ b/review/standin-2/FreshDatabase.java
@@ -69,6 +69,7 @@
       current.sent.incrementAndGet();
       String id = Client.nextId();
       try (Client client = new Client(host, "browse", "key-of-club", 0)) {
+        rig.record.line("client at " + host.name + " sends " + id + " READ item");
         Client.Answer answer = client.query(id, "READ item", 8_000);
         rig.record.line("client at " + host.name + " gets " + id + " " + answer.code() + " " + answer.text());
         if (answer.isSuccess()) current.served.incrementAndGet();
--- a/review/standin-2/LostMajority.java
+++ b/review/standin-2/LostMajority.java
@@ -66,6 +66,7 @@
       current.sent.incrementAndGet();
       String id = Client.nextId();
       try (Client client = new Client(host, database, "key-of-club", 0)) {
+        rig.record.line("client at " + host.name + " sends " + id + " " + text);
         Client.Answer answer = client.query(id, text, 8_000);
         rig.record.line("client at " + host.name + " gets " + id + " " + answer.code() + " " + answer.text());
         if (answer.isSuccess()) current.served.incrementAndGet();
--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -70,12 +70,15 @@
     }
   }
 
-  /** Ends the program with {@code status}, after all processes. */
+  /** The exit code of a broken rule, which the scripts turn into 1. An exception that ends the program gives 1. */
+  private static final int BROKEN = 10;
+
+  /** Ends the program, after all processes: {@code status} is 1 if the rule was broken, 0 if it held, else 2. */
   void exit(int status, String verdict) {
     record.line("verdict: " + verdict);
     System.out.println(verdict);
     close();
-    System.exit(status);
+    System.exit(status == 1 ? BROKEN : status);
   }
 
   @Override
