--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -50,6 +50,7 @@
  * Not safe for use by several threads: every call must come from one event loop. Nothing here blocks, reads a clock or
  * opens a socket; time, network and storage come from the constructor's arguments.
  *
+ * @param leaveBoundMillis how soon after a target reports that it is about to leave it gets no more statements
  * @param drainBoundMillis how soon after an operator's request the targets of a draining zone get no more statements
  */
 public class ProxyHost(
@@ -65,6 +66,7 @@
     private val meter: RequestMeter,
     override val features: Features = Features.NONE,
     private val drainBoundMillis: Long = 5_000,
+    private val leaveBoundMillis: Long = 5_000,
 ) : SessionServices,
     HeartbeatDelegate {
     private val groupRecords = GroupRecords()
@@ -367,7 +369,16 @@
     }
 
     private fun newGroup(id: DatabaseId): DatabaseGroup {
-        val group = DatabaseGroup(id, self.zone, timers, dialer, groupRecords, log, features.learnsCapacity)
+        val group = DatabaseGroup(
+            id,
+            self.zone,
+            timers,
+            dialer,
+            groupRecords,
+            log,
+            features.learnsCapacity,
+            leaveBoundMillis,
+        )
         group.onConfirmed = fleet::heartbeat
         group.onPrimaryUnreachable = { fleet.heartbeatSoon(Fleet.URGENT_HEARTBEAT_GAP_MILLIS) }
         takeovers[id] = Takeover(
@@ -377,7 +388,7 @@
             promotion = promotion,
             timers = timers,
             log = log,
-            mustQueryAllReplicas = { configuration.groups[id]?.isReplicatedBeforeAcknowledged == true },
+            isReplicated = { configuration.groups[id]?.isReplicatedBeforeAcknowledged == true },
             customerName = { group.controlCustomer },
         )
         groupRecords.record(id)?.let(group::onRecord)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/EpochSettlement.kt
@@ -197,6 +197,7 @@
             term = if (primary == null) maxOf(0, survey.term - 1) else survey.term,
             order = order,
             takeoverFence = known?.takeoverFenceOf(fence) ?: fence,
+            startOfTerm = known?.startOfTerm,
         )
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Fleet.kt
@@ -138,6 +138,7 @@
         val demand = delegate.demand(nowMillis)
         val capacities = delegate.capacityReports()
         val details = RecordDetail.of(groupRecords.all)
+        val termStarts = TermStart.of(groupRecords.all)
         if (!isRegistered) return
         val heardMembers = heardMembers(nowMillis)
         heartbeatAtMillis = nowMillis
@@ -158,7 +159,8 @@
                 demand = demand,
             )
             val datagram = peer.encoder.encode(self.name, self.incarnation, message)
-            network.send(peer.member.address, datagram.copy(capacities = capacities, details = details))
+            val extended = datagram.copy(capacities = capacities, details = details, termStarts = termStarts)
+            network.send(peer.member.address, extended)
         }
     }
 
@@ -237,7 +239,8 @@
             if (!wasFromFuture) log.event("fleet", "heartbeat_from_future", "member", message.from)
         }
         val details = message.details.orEmpty().associateBy { it.group }
-        val records = heartbeat.groups.mapNotNull { it.record(details[it.group]) }
+        val starts = message.termStarts.orEmpty().associateBy { it.group }
+        val records = heartbeat.groups.mapNotNull { it.record(details[it.group], starts[it.group]) }
         val hasProof = isInformed && heartbeat.proofAgeMillis >= 0 && peer.sentNotBeforeMillis > GroupRecords.NEVER
         groupRecords.learn(
             records,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupStatus.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/GroupStatus.kt
@@ -39,8 +39,8 @@
     val unreachable: List<String>,
     val confirmedFence: Long,
 ) {
-    /** The record that the sender knows, or null when it knows none. [detail] adds the rest of it, if any. */
-    public fun record(detail: RecordDetail?): GroupRecord? = if (fence == 0L) {
+    /** The record that the sender knows, or null when it knows none. [detail] and [start] add the rest of it, if any. */
+    public fun record(detail: RecordDetail?, start: TermStart? = null): GroupRecord? = if (fence == 0L) {
         null
     } else {
         GroupRecord(
@@ -54,6 +54,7 @@
             recordTerm,
             detail?.order?.order(),
             detail?.takeoverFence ?: fence,
+            start?.position(),
         )
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessage.kt
@@ -16,6 +16,8 @@
  *   build
  * @property details what the statuses of the heartbeat don't say of their records; null when there is nothing, or from an
  *   older build
+ * @property termStarts how far the logs of the primaries in its records went when they became primary; null when there is
+ *   nothing, or from an older build
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -30,4 +32,5 @@
     @CborLabel(8) val capacities: List<CapacityReport>? = null,
     @CborLabel(9) val drains: ZoneDrains? = null,
     @CborLabel(10) val details: List<RecordDetail>? = null,
+    @CborLabel(11) val termStarts: List<TermStart>? = null,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheck.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheck.kt
@@ -19,7 +19,8 @@
     private val TIMES_MILLIS = -MAX_NUMBER..MAX_NUMBER
 
     /** True when a host can have sent [message], apart from a heartbeat that is still compressed. */
-    fun isValid(message: PeerMessage): Boolean = message.from.isNotBlank() && message.heartbeat?.let(::isValid) != false
+    fun isValid(message: PeerMessage): Boolean = message.from.isNotBlank() &&
+        message.heartbeat?.let(::isValid) != false && message.termStarts.orEmpty().all(::isValid)
 
     /** True when a host can have sent [heartbeat]. */
     fun isValid(heartbeat: Heartbeat): Boolean {
@@ -39,6 +40,8 @@
         return details.all { detail -> statuses[detail.group]?.let { isValid(detail, it) } ?: true }
     }
 
+    private fun isValid(start: TermStart): Boolean = start.term in NUMBERS && start.offset in NUMBERS
+
     private fun isValid(detail: RecordDetail, status: GroupStatus): Boolean {
         val fences = 0..GroupRecord.highestFence(status.position.epoch)
         val order = detail.order ?: return detail.takeoverFence in fences
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ReplacementTrigger.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/ReplacementTrigger.kt
@@ -6,11 +6,18 @@
 /**
  * Decides whether the primary of one group should be replaced, from how this host and the other alive hosts reach it.
  *
+ * A primary that still works is replaced only if another target may serve in its place. One that is lost is replaced also
+ * if none may, where a commit is acknowledged only once a replica has received it: the replicas that are about to leave may
+ * alone have such commits, and their end is no reason to wait.
+ *
  * Not safe for use by several threads.
+ *
+ * @param isReplicated true when a commit is acknowledged only once a replica has received it
  */
 internal class ReplacementTrigger(
     private val group: DatabaseGroup,
     private val fleet: Fleet,
+    private val isReplicated: () -> Boolean,
     private val customerName: () -> String?,
 ) {
     private var suspectedSinceMillis: Long? = null
@@ -27,9 +34,11 @@
     fun reason(nowMillis: Long, mayPlan: Boolean): ReplacementReason? {
         val primary = group.primary ?: return unlistedReason(nowMillis)
         unlistedSinceMillis = null
-        if (group.targets.none { it !== primary && isEligible(it) }) return null
-        return drainingReason(primary, nowMillis, mayPlan) ?: unreachableReason(primary, nowMillis)
-            ?: outOfReachReason(primary, nowMillis, mayPlan) ?: lostRoleReason(primary)
+        val others = group.targets.filter { it !== primary }
+        if (others.none(::mayLead)) return null
+        val mayPlanNow = mayPlan && others.any(::isEligible)
+        return drainingReason(primary, nowMillis, mayPlanNow) ?: unreachableReason(primary, nowMillis)
+            ?: outOfReachReason(primary, nowMillis, mayPlanNow) ?: lostRoleReason(primary)
     }
 
     /** The record is wrong when its primary says that it is a replica: the takeover finds the one that is primary. */
@@ -41,7 +50,7 @@
         val isReachedElsewhere = fleet.alivePeers(nowMillis).any { peer ->
             (peer.groupStatus(group.id.value)?.primaryHeardMillis ?: -1) in 0 until MISSING_MILLIS
         }
-        if (group.targets.none(::isEligible) || isReachedElsewhere) {
+        if (group.targets.none(::mayLead) || isReachedElsewhere) {
             unlistedSinceMillis = null
             return null
         }
@@ -99,8 +108,11 @@
     fun unreachableCount(target: Target, nowMillis: Long): Int =
         fleet.alivePeers(nowMillis).count { target.entry.id.value in unreachableTargets(it) }
 
-    /** True when [target] may become primary. */
-    fun isEligible(target: Target): Boolean = target.isEligible
+    /** True when [target] may be sent new statements, and so may take the place of a primary that still works. */
+    private fun isEligible(target: Target): Boolean = target.isEligible
+
+    /** True when [target] may take the place of a primary that is lost. */
+    private fun mayLead(target: Target): Boolean = if (isReplicated()) target.isInReach else isEligible(target)
 
     private fun unreachableTargets(peer: Peer): List<String> =
         peer.groupStatus(group.id.value)?.unreachable ?: emptyList()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.fleet
 
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.takeover.PromotionRule
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.GroupRecord
 import dev.cardamomlane.engine.group.PromotionOrder
@@ -16,8 +17,8 @@
  * Any host may carry out a takeover, and is then the holder of the group's record:
  * 1. It claims the record under a new fence, the fencing token of the promotion.
  * 2. It waits until no host can acknowledge a write of the old primary any more.
- * 3. It queries the targets for their log positions.
- * 4. It stores in the record which replica it will order, the one that has received most, and orders its promotion.
+ * 3. It queries the targets for their log positions, until [dev.cardamomlane.core.takeover.PromotionRule] names a replica.
+ * 4. It stores in the record which replica it will order, and orders its promotion.
  * 5. It publishes the new primary in the record.
  *
  * Each step is safe to repeat, and safe when two hosts try: the store lets one claim succeed. A host that finds a
@@ -27,8 +28,8 @@
  * Not safe for use by several threads.
  *
  * @param self names this incarnation of this host in records, as `host#incarnation`
- * @param mustQueryAllReplicas true when a commit is acknowledged only once a replica has received it: any replica may
- *   be the one, so all should answer before one is promoted
+ * @param isReplicated true when a commit is acknowledged only once a replica has received it: any replica may be the
+ *   only one that has it
  * @param customerName a customer to open connections to targets as, or null while none is known
  */
 public class Takeover(
@@ -38,18 +39,20 @@
     promotion: PromotionCall,
     private val timers: TimerService,
     private val log: DecisionLog,
-    private val mustQueryAllReplicas: () -> Boolean,
+    private val isReplicated: () -> Boolean,
     private val customerName: () -> String?,
 ) {
     private val groupRecords = fleet.groupRecords
     private val table = fleet.controlTable
-    private val trigger = ReplacementTrigger(group, fleet, customerName)
+    private val trigger = ReplacementTrigger(group, fleet, isReplicated, customerName)
+    private val handover = HandoverCheck(group, customerName)
     private val drain = TakeoverDrain(group, fleet)
     private val demotions = Demotions(group, customerName)
     private val orders = OpenOrders()
-    private val choice = TargetChoice(group, trigger, orders, mustQueryAllReplicas)
+    private val choice = TargetChoice(group, trigger, orders, isReplicated)
     private val sender = PromotionSender(group, fleet, promotion, orders, timers, log)
     private var phase: TakeoverPhase = TakeoverPhase.Watching
+    private var reports = ReportedLogs(sinceMillis = 0)
     private var observedSinceMillis = 0L
     private var observed: GroupRecord? = null
     private var plannedNotBeforeMillis = GroupRecords.NEVER
@@ -97,7 +100,7 @@
             val dueAfterMillis = when {
                 record.holder == self -> 0
                 fleet.isHolderGone(record.holder, nowMillis) -> GONE_HOLDER_MILLIS
-                mustQueryAllReplicas() -> STALLED_HOLDER_MILLIS + TargetChoice.ALL_REPLICAS_MILLIS
+                isReplicated() -> STALLED_HOLDER_MILLIS + PromotionRule.REPLICA_WAIT_MILLIS
                 else -> STALLED_HOLDER_MILLIS
             }
             if (stalledMillis >= dueAfterMillis) claim("stalled takeover", record.isPlanned, nowMillis)
@@ -106,7 +109,9 @@
         val mayPlan = nowMillis >= plannedNotBeforeMillis && orders.target(nowMillis) == null
         val reason = trigger.reason(nowMillis, mayPlan) ?: return
         val dueMillis = reason.sinceMillis + reason.minDurationMillis + fleet.rank(nowMillis) * RANK_STEP_MILLIS
-        if (nowMillis >= dueMillis) claim(reason.text, reason.isPlanned, nowMillis)
+        if (nowMillis < dueMillis) return
+        if (reason.isPlanned && isReplicated() && !handover.isTimely(nowMillis)) return
+        claim(reason.text, reason.isPlanned, nowMillis)
     }
 
     private fun claim(reason: String, isPlanned: Boolean, nowMillis: Long) {
@@ -128,6 +133,7 @@
             term = old?.term ?: 0,
             order = old?.order.takeIf { orders.target(nowMillis) != null },
             takeoverFence = old?.takeoverFenceOf(fence) ?: fence,
+            startOfTerm = old?.startOfTerm,
         )
         log.event(
             "takeover", "claim", "group", group.id.value, "reason", reason, "fence", record.fence,
@@ -166,14 +172,14 @@
         if (!isConfirmed && !drain.hasOldProofExpired(now, nowMillis)) return
         log.event("takeover", "drained", "group", group.id.value, "is_confirmed", isConfirmed)
         val readNotBeforeMillis = if (isConfirmed) now.claimedAtMillis else nowMillis
+        reports = ReportedLogs(sinceMillis = nowMillis)
         phase = TakeoverPhase.Querying(now.record, startedAtMillis = nowMillis, readNotBeforeMillis)
     }
 
     private fun queryTargets(now: TakeoverPhase.Querying, nowMillis: Long) {
         if (isCallUnderWay || nowMillis < now.startedAtMillis) return
         val customer = customerName() ?: return
-        val isLate = nowMillis - now.startedAtMillis > REACHABLE_ONLY_MILLIS
-        val queried = group.targets.filter { it.goneAtMillis == null && (it.unreachableSinceMillis == null || isLate) }
+        val queried = group.targets.filter { mustQuery(it, now, nowMillis) }
         if (queried.isEmpty()) return
         isCallUnderWay = true
         StatusQuery.run(queried, customer) { answers ->
@@ -182,17 +188,46 @@
         }
     }
 
+    /**
+     * An unreachable target could hold up the answers of the others, so it is queried only once they have not sufficed.
+     * One that may alone have acknowledged commits is queried whatever is known of it.
+     */
+    private fun mustQuery(target: Target, now: TakeoverPhase.Querying, nowMillis: Long): Boolean {
+        val mayHoldCommits = isReplicated() && target.entry.id != now.record.primary && !now.record.isPlanned
+        val isLate = nowMillis - now.startedAtMillis > REACHABLE_ONLY_MILLIS
+        return when {
+            mayHoldCommits || (isReplicated() && isLate) -> true
+            else -> target.goneAtMillis == null && (target.unreachableSinceMillis == null || isLate)
+        }
+    }
+
     private fun decide(now: TakeoverPhase.Querying, answers: Map<Target, TargetStatus>) {
         val nowMillis = timers.nowMillis()
-        when (val step = choice.next(now.record, answers, waitedMillis = nowMillis - now.startedAtMillis, nowMillis)) {
+        reports.learn(answers)
+        val step = choice.next(now, answers, reports, nowMillis)
+        logDecision(now, step, answers)
+        when (step) {
             is TakeoverStep.Wait -> Unit
             is TakeoverStep.ClaimAgain -> claimAgain(now.record)
             is TakeoverStep.Order -> order(now, step, nowMillis)
-            is TakeoverStep.Publish -> publishAs(now.record, step.target, step.term)
+            is TakeoverStep.Publish -> publishAs(now.record, step.target, step.status)
             is TakeoverStep.Keep -> giveUp(now.record, step.target, step.reason)
         }
     }
 
+    /** Logs what this host knows of each target, unless it is about to query them again as after its last answers. */
+    private fun logDecision(now: TakeoverPhase.Querying, step: TakeoverStep, answers: Map<Target, TargetStatus>) {
+        val stepName = step::class.simpleName.orEmpty()
+        if (stepName == now.loggedStep) return
+        now.loggedStep = stepName
+        val leftOut = (step as? TakeoverStep.Order)?.leftOut.orEmpty()
+        log.event(
+            "takeover", "decided", "group", group.id.value, "fence", now.record.fence, "step", stepName,
+            "start_of_term", now.record.startOfTerm, "left_out", leftOut.joinToString(" ") { it.value },
+            "targets", group.targets.joinToString(" ") { TargetSummary.of(it, answers[it]) },
+        )
+    }
+
     /** Leaves the claim [record] to be followed by another one of this host, at the next tick. */
     private fun claimAgain(record: GroupRecord) {
         log.event("takeover", "claim_again", "group", group.id.value, "fence", record.fence)
@@ -202,9 +237,10 @@
     /** Ends the takeover by publishing the old primary, which was never replaced. */
     private fun giveUp(record: GroupRecord, old: Target, reason: String) {
         log.event("takeover", "given_up", "group", group.id.value, "reason", reason)
-        val pauseMillis = if (old.zoneGate.isDraining) ZONE_GIVEN_UP_PAUSE_MILLIS else GIVEN_UP_PAUSE_MILLIS
+        val isLeaving = old.zoneGate.isDraining || (isReplicated() && old.entry.isDraining)
+        val pauseMillis = if (isLeaving) LEAVING_GIVEN_UP_PAUSE_MILLIS else GIVEN_UP_PAUSE_MILLIS
         plannedNotBeforeMillis = timers.nowMillis() + pauseMillis
-        phase = TakeoverPhase.Publishing(record, old.entry.id, record.term)
+        phase = TakeoverPhase.Publishing(record, old.entry.id, record.term, record.startOfTerm)
     }
 
     private fun order(now: TakeoverPhase.Querying, step: TakeoverStep.Order, nowMillis: Long) {
@@ -258,13 +294,14 @@
         isCallUnderWay = true
         now.target.status(customer) { status, _ ->
             isCallUnderWay = false
-            if (phase === now && status != null && status.isPrimary) publishAs(now.record, now.target, status.term)
+            if (phase === now && status != null && status.isPrimary) publishAs(now.record, now.target, status)
         }
     }
 
-    private fun publishAs(record: GroupRecord, target: Target, term: Long) {
+    private fun publishAs(record: GroupRecord, target: Target, status: TargetStatus) {
         orders.tookEffect(target.entry.id)
-        phase = TakeoverPhase.Publishing(record, target.entry.id, term)
+        val startOfTerm = status.received.takeIf { isReplicated() }
+        phase = TakeoverPhase.Publishing(record, target.entry.id, status.term, startOfTerm)
         publish(phase as TakeoverPhase.Publishing, timers.nowMillis())
     }
 
@@ -278,6 +315,7 @@
             isChanging = false,
             term = now.term,
             order = now.record.order.takeIf { orders.target(nowMillis) != null },
+            startOfTerm = now.startOfTerm,
         )
         table.writeRecord(record, expected.version).doFinally { isCallUnderWay = false }.subscribe(
             log.guarded("takeover") { onPublished(now, record, it) },
@@ -322,8 +360,8 @@
         const val GONE_HOLDER_MILLIS = 1_000L
 
         /**
-         * For this time only the targets that this host reaches are queried, then all that are listed. Must stay below
-         * [TargetChoice.ALL_REPLICAS_MILLIS], or a takeover that needs every replica would not query the unreachable ones.
+         * For this time only the targets that this host reaches are queried, then all that are listed. Of a group whose
+         * commits wait for a replica, all targets but the old primary are queried from the start.
          */
         const val REACHABLE_ONLY_MILLIS = 800L
 
@@ -348,7 +386,10 @@
         /** After a takeover was given up a primary that still answers is not replaced for this time. */
         const val GIVEN_UP_PAUSE_MILLIS = 4_000L
 
-        /** The same for a primary in a draining zone, which runs nothing that a new attempt would stop. */
-        const val ZONE_GIVEN_UP_PAUSE_MILLIS = 500L
+        /**
+         * The same for a primary in a draining zone, which runs nothing that a new attempt would stop, and for one that is
+         * about to leave, which a new attempt stops only once a replica has caught up, see [HandoverCheck].
+         */
+        const val LEAVING_GIVEN_UP_PAUSE_MILLIS = 500L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverPhase.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverPhase.kt
@@ -24,7 +24,10 @@
      * Queries the targets from [startedAtMillis] on, until one can be promoted or the old primary is kept. Rows that
      * were read no earlier than [readNotBeforeMillis] must still have the claim.
      */
-    class Querying(val record: GroupRecord, val startedAtMillis: Long, val readNotBeforeMillis: Long) : TakeoverPhase
+    class Querying(val record: GroupRecord, val startedAtMillis: Long, val readNotBeforeMillis: Long) : TakeoverPhase {
+        /** The name of the step that was logged last, so that each is logged once as long as it stays the same. */
+        var loggedStep = ""
+    }
 
     /**
      * Writes [order] to the record until the store confirms it, to order the promotion of [target] after that, which
@@ -38,8 +41,9 @@
     /** The promotion of [target] was ordered and is not known to be done. */
     class Promoting(val record: GroupRecord, val target: Target, val sentAtMillis: Long) : TakeoverPhase
 
-    /** Writes [primary] to the record until the store confirms it. */
-    class Publishing(val record: GroupRecord, val primary: TargetId, val term: Long) : TakeoverPhase {
+    /** Writes [primary] to the record until the store confirms it. Its log went up to [startOfTerm] when it became one. */
+    class Publishing(val record: GroupRecord, val primary: TargetId, val term: Long, val startOfTerm: LogPosition?) :
+        TakeoverPhase {
         var notBeforeMillis = GroupRecords.NEVER
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TargetChoice.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TargetChoice.kt
@@ -1,42 +1,50 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.core.TargetId
+import dev.cardamomlane.core.takeover.LogReport
+import dev.cardamomlane.core.takeover.PromotionDecision
+import dev.cardamomlane.core.takeover.PromotionRule
+import dev.cardamomlane.core.takeover.TakeoverFacts
+import dev.cardamomlane.core.takeover.TargetFacts
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.GroupRecord
 import dev.cardamomlane.engine.target.Target
 import dev.cardamomlane.engine.target.TargetStatus
+import kotlinx.collections.immutable.toImmutableList
 
 /**
  * Decides from the answers of a group's targets how a takeover goes on.
  *
- * Of the replicas the one that has received most is ordered. While an order is open, see [OpenOrders], its target is
- * ordered again as long as it answers, and neither another target nor the old primary is published.
+ * [PromotionRule] names the replica to order. While an order is open, see [OpenOrders], its target is ordered again as
+ * long as it answers, and neither another target nor the old primary is published.
  */
 internal class TargetChoice(
     private val group: DatabaseGroup,
     private val trigger: ReplacementTrigger,
     private val orders: OpenOrders,
-    private val mustQueryAllReplicas: () -> Boolean,
+    private val isReplicated: () -> Boolean,
 ) {
-    /** The next step of the takeover that [record] claims, whose targets have been queried for [waitedMillis]. */
+    /** The next step of the takeover [now], given the newest [answers] of the targets and all [reports] of their logs. */
     fun next(
-        record: GroupRecord,
+        now: TakeoverPhase.Querying,
         answers: Map<Target, TargetStatus>,
-        waitedMillis: Long,
+        reports: ReportedLogs,
         nowMillis: Long,
     ): TakeoverStep {
+        val record = now.record
         val promoted = answers.entries.filter { (target, status) ->
             status.isPrimary && target.entry.id != record.primary && status.term > record.term
         }.maxByOrNull { it.value.term }
         val ordered = orders.target(nowMillis)
         return when {
             promoted != null && (ordered == null || ordered == promoted.key.entry.id) ->
-                TakeoverStep.Publish(promoted.key, promoted.value.term)
+                TakeoverStep.Publish(promoted.key, promoted.value)
             promoted != null -> TakeoverStep.Wait
             ordered != null -> {
                 val entry = answers.entries.firstOrNull { it.key.entry.id == ordered } ?: return TakeoverStep.Wait
                 orderAgain(record, entry.key, entry.value, nowMillis)
             }
-            else -> choose(record, answers, waitedMillis, nowMillis)
+            else -> choose(now, answers, reports, nowMillis)
         }
     }
 
@@ -49,45 +57,54 @@
         }
 
     private fun choose(
-        record: GroupRecord,
+        now: TakeoverPhase.Querying,
         answers: Map<Target, TargetStatus>,
-        waitedMillis: Long,
+        reports: ReportedLogs,
         nowMillis: Long,
+    ): TakeoverStep = when (val decision = PromotionRule.decide(facts(now, answers, reports, nowMillis))) {
+        is PromotionDecision.Wait -> TakeoverStep.Wait
+        is PromotionDecision.Keep -> TakeoverStep.Keep(target(now.record.primary), decision.reason)
+        is PromotionDecision.Promote -> order(now.record, decision, answers)
+    }
+
+    private fun order(
+        record: GroupRecord,
+        decision: PromotionDecision.Promote,
+        answers: Map<Target, TargetStatus>,
     ): TakeoverStep {
-        val old = answers.entries.firstOrNull { (target, status) ->
-            status.isPrimary && target.entry.id == record.primary && status.term >= record.term
-        }
-        val candidates = answers.filter { (target, status) ->
-            !status.isPrimary && trigger.isEligible(target) && !orders.isNotRunning(target.entry.id, nowMillis)
-        }
-        val best = candidates.entries.maxWithOrNull(
-            compareBy({ it.value.received }, { -trigger.unreachableCount(it.key, nowMillis) }),
-        )
-        val isCatchUpOver = waitedMillis > CATCH_UP_MILLIS
+        val isFenceUsed = record.order?.let { it.fence == record.fence && it.target != decision.target } ?: false
+        val target = target(decision.target)
         return when {
-            best == null -> keepIf(isCatchUpOver, old?.key, "no replica can become primary")
-            record.isPlanned && old != null && best.value.received < old.value.received ->
-                keepIf(isCatchUpOver, old.key, "no replica caught up")
-            mustQueryAllReplicas() && !hasAllReplicas(record, answers) && waitedMillis < ALL_REPLICAS_MILLIS ->
-                TakeoverStep.Wait
-            record.order?.let { it.fence == record.fence && it.target != best.key.entry.id } ?: false ->
-                TakeoverStep.ClaimAgain
-            else -> TakeoverStep.Order(best.key, best.value)
+            isFenceUsed -> TakeoverStep.ClaimAgain
+            else -> TakeoverStep.Order(target, answers.getValue(target), decision.leftOut)
         }
     }
 
-    private fun keepIf(isDue: Boolean, old: Target?, reason: String): TakeoverStep =
-        if (isDue && old != null) TakeoverStep.Keep(old, reason) else TakeoverStep.Wait
-
-    /** A replica that has recently left the list counts as well: it may be back, and may have what no other one has. */
-    private fun hasAllReplicas(record: GroupRecord, answers: Map<Target, TargetStatus>): Boolean =
-        group.targets.filter { it.entry.id != record.primary }.all { it in answers }
-
-    companion object {
-        /** How long a replica may take to catch up with an old primary that still answers, before that one is kept. */
-        const val CATCH_UP_MILLIS = 700L
+    private fun target(id: TargetId): Target = group.targets.first { it.entry.id == id }
 
-        /** How long a takeover that needs every replica waits for the ones that don't answer. */
-        const val ALL_REPLICAS_MILLIS = 8_000L
-    }
+    private fun facts(
+        now: TakeoverPhase.Querying,
+        answers: Map<Target, TargetStatus>,
+        reports: ReportedLogs,
+        nowMillis: Long,
+    ) = TakeoverFacts(
+        primary = now.record.primary,
+        term = now.record.term,
+        startOfTerm = now.record.startOfTerm,
+        isPlanned = now.record.isPlanned,
+        isReplicated = isReplicated(),
+        targets = group.targets.map { target ->
+            TargetFacts(
+                id = target.entry.id,
+                answer = answers[target]?.let { LogReport(it.isPrimary, it.term, it.received) },
+                received = reports.received(target),
+                servesWork = target.isEligible,
+                isNotRunning = orders.isNotRunning(target.entry.id, nowMillis),
+                isGone = group.isLost(target, nowMillis),
+                unreachableCount = trigger.unreachableCount(target, nowMillis),
+            )
+        }.toImmutableList(),
+        knowsAllTargets = group.knowsAllTargets(nowMillis),
+        waitedMillis = nowMillis - if (isReplicated()) reports.sinceMillis else now.startedAtMillis,
+    )
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -24,6 +24,7 @@
  * @param zone this host's availability zone; targets in it are preferred
  * @param learnsCapacity true when the concurrency of each target is learned, by
  *   [dev.cardamomlane.core.capacity.LearnedCapacity]
+ * @param leaveBoundMillis how soon after a target reports that it is about to leave it gets no more statements
  */
 public class DatabaseGroup(
     public val id: DatabaseId,
@@ -33,9 +34,18 @@
     private val records: GroupRecords,
     private val log: DecisionLog,
     private val learnsCapacity: Boolean = false,
+    leaveBoundMillis: Long = 0,
 ) : TargetListener {
-    private val roster =
-        TargetRoster(id, timers, dialer, records, log, listener = this, learnedZone = zone.takeIf { learnsCapacity })
+    private val roster = TargetRoster(
+        id,
+        timers,
+        dialer,
+        records,
+        log,
+        listener = this,
+        learnedZone = zone.takeIf { learnsCapacity },
+        leaveBoundMillis = leaveBoundMillis,
+    )
     private val queue = WorkQueue()
     private val positions = PrimaryPositions()
     private val uncertainAnswers = UncertainAnswerLog(id, timers, log)
@@ -71,6 +81,12 @@
     /** The targets that the newest list names. */
     internal val listedTargets: List<Target> get() = roster.listed
 
+    /** True when this host has had lists for so long that it knows of every target that does not count as gone. */
+    internal fun knowsAllTargets(nowMillis: Long): Boolean = roster.knowsAllTargets(nowMillis)
+
+    /** True when [target] counts as lost with its log, see [dev.cardamomlane.core.takeover.TargetFacts.isGone]. */
+    internal fun isLost(target: Target, nowMillis: Long): Boolean = roster.isLost(target, nowMillis)
+
     /**
      * The target that the newest record names as primary. Without a record, the only target that reports to be primary.
      */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/GroupRecord.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.group
 
 import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.engine.fleet.StorePosition
 
@@ -21,6 +22,7 @@
  * @property takeoverFence the fence of the first claim of the takeover that is or was under way; a takeover that lost its
  *   holder is claimed again under a higher fence
  * @property order the newest order of a promotion that may still be carried out, or null when there is none
+ * @property startOfTerm how far the log of [primary] went when it became primary, or null when that is not known
  */
 public data class GroupRecord(
     val group: DatabaseId,
@@ -33,6 +35,7 @@
     val term: Long,
     val order: PromotionOrder? = null,
     val takeoverFence: Long = fence,
+    val startOfTerm: LogPosition? = null,
 ) {
     /** How many orders have been stored under [fence]. */
     private val orderCount: Int get() = order?.takeIf { it.fence == fence }?.attempt ?: 0
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
@@ -4,6 +4,7 @@
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.capacity.LearnedCapacity
+import dev.cardamomlane.core.takeover.PromotionRule
 import dev.cardamomlane.engine.fleet.GroupRecords
 import dev.cardamomlane.engine.log.DecisionLog
 import dev.cardamomlane.engine.target.Target
@@ -18,6 +19,7 @@
  * Not safe for use by several threads.
  *
  * @param learnedZone this host's availability zone if the capacity of targets is learned, else null
+ * @param leaveBoundMillis how soon after a target reports that it is about to leave it gets no more statements
  */
 internal class TargetRoster(
     private val group: DatabaseId,
@@ -27,8 +29,10 @@
     private val log: DecisionLog,
     private val listener: TargetListener,
     private val learnedZone: String? = null,
+    private val leaveBoundMillis: Long = 0,
 ) {
     private val targetsById = LinkedHashMap<TargetId, Target>()
+    private var listedFromMillis: Long? = null
 
     /** The listed targets, and those that are no longer listed but still kept for a while. */
     val targets: Collection<Target> get() = targetsById.values
@@ -36,6 +40,22 @@
     /** The targets that the newest list names. */
     val listed: List<Target> get() = targets.filter { it.goneAtMillis == null }
 
+    /** True when this host has had lists for so long that it knows of every target that does not count as gone. */
+    fun knowsAllTargets(nowMillis: Long): Boolean =
+        listedFromMillis?.let { nowMillis - it >= PromotionRule.GONE_MILLIS } ?: false
+
+    /**
+     * True when [target] counts as lost with its log: it has been missing from the list for long, or the target that
+     * takes over its log, which is listed at its address, has answered.
+     */
+    fun isLost(target: Target, nowMillis: Long): Boolean {
+        val goneAt = target.goneAtMillis ?: return false
+        val hasSuccessor = listed.any {
+            it.entry.address == target.entry.address && it.lastAnswerAtMillis > GroupRecords.NEVER
+        }
+        return hasSuccessor || nowMillis - goneAt >= PromotionRule.GONE_MILLIS
+    }
+
     /** The target that the newest record names. Without a record, the only target that reports to be primary. */
     val primary: Target?
         get() {
@@ -52,6 +72,7 @@
      */
     fun update(entries: Collection<TargetEntry>, connectionShare: Int, rules: ZoneRules) {
         val nowMillis = timers.nowMillis()
+        if (listedFromMillis == null && entries.isNotEmpty()) listedFromMillis = nowMillis
         for (entry in entries) {
             val known = targetsById[entry.id]
             val isSame = known != null && known.entry.address == entry.address &&
@@ -98,6 +119,22 @@
     }
 
     private fun newTarget(entry: TargetEntry): Target {
+        val target = unboundTarget(entry)
+        target.servesWhileLeaving = { servesWhileLeaving(target) }
+        return target
+    }
+
+    /**
+     * True for a primary that is to be replaced before it leaves, from [HANDOVER_MILLIS] on: by then it would have been
+     * replaced if a replica had caught up with it, and service goes on there meanwhile.
+     */
+    private fun servesWhileLeaving(target: Target): Boolean {
+        val since = target.leavingSinceMillis ?: return false
+        val leavingMillis = timers.nowMillis() - since
+        return target === primary && leavingMillis in HANDOVER_MILLIS until leaveBoundMillis - LEAVE_NOTICE_MILLIS
+    }
+
+    private fun unboundTarget(entry: TargetEntry): Target {
         val zone = learnedZone ?: return Target(entry, timers, dialer, log, listener)
         val capacity = LearnedCapacity(
             slots = maxOf(1, entry.slotCount),
@@ -129,6 +166,12 @@
     }
 
     private companion object {
+        /** How long after this host learned that the primary is about to leave nothing is sent there, as it is replaced. */
+        const val HANDOVER_MILLIS = 1_000L
+
+        /** How long other hosts may have known before this one that a target is about to leave, and a statement's way there. */
+        const val LEAVE_NOTICE_MILLIS = 2_000L
+
         /** How long a target that is no longer listed is kept, unless the record names it as primary. */
         const val GONE_RETENTION_MILLIS = 10_000L
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -31,7 +31,19 @@
 ) {
     /** The target's entry in the newest list of targets. */
     public var entry: TargetEntry = entry
-        internal set
+        internal set(value) {
+            if (value.isDraining != field.isDraining) {
+                leavingSinceMillis = if (value.isDraining) timers.nowMillis() else null
+            }
+            field = value
+        }
+
+    /** Since when this host knows that the target is about to leave; null if it is not, or was when it was first listed. */
+    internal var leavingSinceMillis: Long? = null
+        private set
+
+    /** True while the target, which is about to leave, may be sent new statements all the same. */
+    internal var servesWhileLeaving: () -> Boolean = { false }
 
     /** When it was first missing from the list of targets, or null while it is listed. */
     internal var goneAtMillis: Long? = null
@@ -81,12 +93,18 @@
     internal val zoneGate = ZoneGate(timers)
     private var isWakeUpScheduled = false
 
-    /** True when the target is listed, neither it nor its zone is draining, and this host reaches it. */
-    internal val isEligible: Boolean
-        get() = !entry.isDraining && !zoneGate.isDraining && goneAtMillis == null && unreachableSinceMillis == null
+    /** True when the target is listed, and this host reaches it. */
+    internal val isInReach: Boolean get() = goneAtMillis == null && unreachableSinceMillis == null
+
+    /** True when the target is in reach, and neither it nor its zone is draining. */
+    internal val isEligible: Boolean get() = isInReach && !entry.isDraining && !zoneGate.isDraining
+
+    /** True when the target gets no more statements, since it is about to leave or has left. */
+    private val isLeft: Boolean get() = goneAtMillis != null || (entry.isDraining && !servesWhileLeaving())
 
     /** True when new statements may be sent to the target. */
-    internal fun takesWork(nowMillis: Long): Boolean = isEligible && nowMillis >= backOffUntilMillis
+    internal fun takesWork(nowMillis: Long): Boolean =
+        isInReach && !isLeft && !zoneGate.isDraining && nowMillis >= backOffUntilMillis
 
     /** True when another statement may start now. */
     internal fun hasSlot(): Boolean = capacity.hasRoom && !isPausedByWarmUp()
@@ -290,7 +308,7 @@
 
     internal fun released(connection: PooledConnection) {
         connection.isTaken = false
-        if (entry.isDraining || goneAtMillis != null || connection.isWornOut) connection.close()
+        if (isLeft || connection.isWornOut) connection.close()
         listener.onCapacity(this)
     }
 
@@ -341,7 +359,7 @@
         if (connection.isOpen) null else connection.dialedAtMillis
 
     private fun closeSurplus(nowMillis: Long) {
-        val takesNoWork = entry.isDraining || goneAtMillis != null
+        val takesNoWork = isLeft
         for (connection in connections.toList()) {
             if (!connection.isOpen || connection.isTaken) continue
             val isOld = nowMillis - connection.lastUsedMillis > IDLE_CLOSE_MILLIS
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -162,6 +162,7 @@
             log = log,
             meter = { _, _, _ -> },
             features = features,
+            leaveBoundMillis = LEAVE_BOUND_MILLIS,
         )
         hostsByAddress[name] = host
         links.add(name, host)
@@ -266,4 +267,9 @@
     fun replicate() {
         for (id in listOf("r1", "r2")) targets.target(id).position = targets.target("p").position
     }
+
+    private companion object {
+        /** How soon after a target reports that it is about to leave it may be sent no more statements. */
+        const val LEAVE_BOUND_MILLIS = 7_000L
+    }
 }
