--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/failover/FailoverMachineTest.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/failover/FailoverMachineTest.kt
@@ -78,6 +78,18 @@
         assertEquals(B, group.monitor.primary)
     }
 
+    /** Guards against the loss of writes that only a target has which is about to leave, as on the platform (review/6). */
+    @Test
+    fun `a leaving target is promoted when the others are no majority, so that its writes are kept`() {
+        startFencing()
+        grant(C, "1:8")
+        val leaving = replica("1:9", fence = 2, following = null).copy(leaving = true)
+
+        val next = on(FailoverEvent.FenceAnswered(B, 2, granted = true, leaving))
+
+        assertEquals(listOf<FailoverAction>(FailoverAction.Promote(B, 2, "one")), next)
+    }
+
     @Test
     fun `after a refused fence the next attempt takes a higher term`() {
         startFencing()
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerCodecTest.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.fleet
 
+import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.codec.CborMessages
 import dev.cardamomlane.engine.group.PromotionOrder
@@ -66,6 +67,19 @@
         assertNull(RecordDetail.of(listOf(status.record(null)!!)))
     }
 
+    /** Guards against a host that learns a record from another one without the start of the primary's term. */
+    @Test
+    fun `a heartbeat brings how far the log of a primary went when it became one, and the build before ignores it`() {
+        val status = GroupStatus("g", StorePosition(1, 7), 5, "t", true, true, "h#1", 3, 3, 9, 1, 5, listOf(), 4)
+        val record = status.record(null)!!.copy(startOfTerm = LogPosition(3, 387))
+        val sent = PeerMessage("a", incarnation = 1, termStarts = TermStart.of(listOf(record)))
+        val bytes = PeerCodec.encode(sent)
+
+        assertEquals(record, status.record(null, PeerCodec.decode(bytes)?.termStarts?.single()))
+        assertEquals(PreviousMessage("a", 1), CborMessages(PreviousMessage.serializer()).decode(bytes))
+        assertNull(TermStart.of(listOf(status.record(null)!!)))
+    }
+
     @Test
     fun `bytes that are no message decode to null`() {
         for (bytes in listOf(byteArrayOf(), byteArrayOf(1, 2, 3), "START a".toByteArray())) {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheckTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/PeerMessageCheckTest.kt
@@ -222,4 +222,16 @@
         const val SEED = 37
         const val MUTATIONS = 50_000
     }
+
+    /** Guards against a start of a term that no log has, for which a group would wait with each takeover. */
+    @Test
+    fun `a message with the start of a term that is out of range is dropped`() {
+        val odd = listOf(TermStart("g", -1, 1), TermStart("g", 1, -1), TermStart("g", Long.MAX_VALUE, 1))
+        for (start in odd) {
+            val message = PeerMessage("b", 1, heartbeat, termStarts = listOf(start))
+            assertNull(PeerCodec.decode(PeerCodec.encode(message)), "$start")
+        }
+        val valid = PeerMessage("b", 1, heartbeat, termStarts = listOf(TermStart("g", 1, 1)))
+        assertEquals(valid, PeerCodec.decode(PeerCodec.encode(valid)))
+    }
 }
