Soak: a drain and a crash of targets meet, and a deaf replica stays deaf when a primary is promoted

Change: targets are taken one by one (DisturbedParts); RELEASE_AND_CRASH drains one replica, makes another one deaf and crashes the primary; a deaf replica that follows a new primary only drops what differs, and gets the rest once it receives again.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
@@ -6,8 +6,8 @@
 import dev.cardamomlane.standin.lane.host.HostProcess
 import dev.cardamomlane.standin.lane.load.LoadTrouble
 import dev.cardamomlane.standin.lane.store.StoreOutage
+import dev.cardamomlane.standin.lane.target.TargetServer
 import dev.cardamomlane.standin.lane.wire.PlatformWords
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
@@ -18,14 +18,14 @@
  * of different parts overlap.
  *
  * @param clocks of the hosts, or null if their time of day can't be moved
- * @param occupied the parts that are disturbed now, shared by all disturbers of a soak
+ * @param occupied shared by all disturbers of a soak
  */
 internal class Disturber(
     private val installation: LaneInstallation,
     private val history: SoakHistory,
     private val random: Random,
     private val clocks: ClockOffsets? = null,
-    private val occupied: MutableSet<DisturbedPart> = ConcurrentHashMap.newKeySet(),
+    private val occupied: DisturbedParts = DisturbedParts(),
 ) {
     private val platform = installation.platform
     private val record = installation.record
@@ -36,29 +36,22 @@
         while (!isOver()) {
             Thread.sleep(random.nextLong(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS))
             val kind = kinds.random(random)
-            if (isOver() || !occupy(kind.parts)) continue
+            if (isOver() || !occupied.occupy(kind.parts)) continue
             try {
                 disturb(kind)
             } finally {
-                occupied -= kind.parts
+                occupied.release(kind.parts)
             }
         }
     }
 
-    /** Takes all of [parts], or none of them and returns false if another disturbance meets one. */
-    private fun occupy(parts: Set<DisturbedPart>): Boolean {
-        val taken = parts.filter(occupied::add)
-        if (taken.size < parts.size) occupied -= taken.toSet()
-        return taken.size == parts.size
-    }
-
     private fun disturb(kind: DisturbanceKind) {
         val startMillis = record.nowMillis
         record.line("disturbance $kind begins")
         val subject = when (kind) {
-            DisturbanceKind.TARGET_CRASH -> crashTarget()
-            DisturbanceKind.TARGET_RELEASE -> releaseTarget()
-            DisturbanceKind.LOST_ANSWERS -> loseAnswers()
+            DisturbanceKind.TARGET_CRASH -> withTarget(mostlyPrimary()) { crash(it, downMillis()) }
+            DisturbanceKind.TARGET_RELEASE -> withTarget(platform.targets.random(random)) { release(it, awayMillis()) }
+            DisturbanceKind.LOST_ANSWERS -> withTarget(platform.targets.random(random), ::loseAnswers)
             DisturbanceKind.HOST_STOP -> restartHost { it.terminate(GRACE_MILLIS).get() }
             DisturbanceKind.HOST_KILL -> restartHost(HostProcess::kill)
             DisturbanceKind.HOST_PAUSE -> pauseHost()
@@ -75,6 +68,7 @@
             DisturbanceKind.PROMOTION_SLOW -> slowPromotions()
             DisturbanceKind.PROMOTION_LOST_ANSWERS -> losePromotionAnswers()
             DisturbanceKind.REPLICA_LAG -> slowReplicas()
+            DisturbanceKind.RELEASE_AND_CRASH -> releaseAndCrash()
             DisturbanceKind.CLOCK_STEP -> stepClocks()
             DisturbanceKind.STUTTER -> repeatAnswers()
             DisturbanceKind.HOT_CUSTOMER -> pressCustomer()
@@ -85,31 +79,76 @@
         record.line("disturbance $kind $subject is over")
     }
 
-    private fun crashTarget(): String {
-        val server = platform.onLoop { platform.primaryServer() }.takeIf { random.nextInt(3) > 0 }
-            ?: platform.targets.random(random)
+    /** Calls [disturb] with [server] unless another disturbance meets that target. Returns the target's name, or nothing. */
+    private fun withTarget(server: TargetServer, disturb: (TargetServer) -> Unit): String =
+        withTargets(listOf(server)) { disturb(server) }
+
+    /** Calls [disturb] unless another disturbance meets one of [servers]. Returns their names, or nothing. */
+    private fun withTargets(servers: List<TargetServer>, disturb: () -> Unit): String {
+        val names = servers.map { it.target.name }
+        if (!occupied.occupyTargets(names.toSet())) return ""
+        try {
+            disturb()
+        } finally {
+            occupied.releaseTargets(names.toSet())
+        }
+        return names.joinToString(" ")
+    }
+
+    private fun mostlyPrimary(): TargetServer =
+        platform.onLoop { platform.primaryServer() }.takeIf { random.nextInt(3) > 0 } ?: platform.targets.random(random)
+
+    private fun downMillis(): Long = random.nextLong(500, 7_000)
+
+    private fun awayMillis(): Long = random.nextLong(300, 2_000)
+
+    private fun crash(server: TargetServer, downMillis: Long) {
         platform.onLoop { server.crash() }
-        Thread.sleep(random.nextLong(500, 7_000))
+        Thread.sleep(downMillis)
         platform.onLoop { server.start() }
-        return server.target.name
     }
 
-    private fun releaseTarget(): String {
-        val server = platform.targets.random(random)
+    private fun release(server: TargetServer, awayMillis: Long) {
         platform.onLoop { server.target.drain() }
         Thread.sleep(DRAIN_MILLIS)
         platform.onLoop { server.leave() }
-        Thread.sleep(random.nextLong(300, 2_000))
+        Thread.sleep(awayMillis)
         platform.onLoop { server.start() }
-        return server.target.name
     }
 
-    private fun loseAnswers(): String {
-        val server = platform.targets.random(random)
+    /**
+     * A replica is released, the other replicas receive nothing for a while, and the primary crashes meanwhile. So the
+     * one that is released may be the only one that has the newest commits.
+     */
+    private fun releaseAndCrash(): String {
+        val primary = platform.onLoop { platform.primaryServer() } ?: return ""
+        val (released, deaf) = (platform.targets - primary).shuffled(random).let { it.first() to it.drop(1) }
+        val deafAfterMillis = random.nextLong(3_000)
+        val crashAfterMillis = deafAfterMillis + random.nextLong(300, DEAF_MILLIS)
+        val awayMillis = awayMillis()
+        val downMillis = downMillis()
+        return withTargets(listOf(released, primary) + deaf) {
+            val parts = listOf(
+                thread { release(released, awayMillis) },
+                thread {
+                    Thread.sleep(deafAfterMillis)
+                    platform.onLoop { deaf.forEach { it.target.isReceiving = false } }
+                    Thread.sleep(DEAF_MILLIS)
+                    platform.onLoop { deaf.forEach { it.target.isReceiving = true } }
+                },
+                thread {
+                    Thread.sleep(crashAfterMillis)
+                    crash(primary, downMillis)
+                },
+            )
+            parts.forEach(Thread::join)
+        }
+    }
+
+    private fun loseAnswers(server: TargetServer) {
         platform.onLoop { server.target.loseAnswers(random.nextInt(1, 4)) }
         Thread.sleep(random.nextLong(500, 2_000))
         platform.onLoop { server.target.loseAnswers(0) }
-        return server.target.name
     }
 
     private fun restartHost(end: (HostProcess) -> Unit): String {
@@ -138,15 +177,24 @@
             val holder = installation.fleet.find(order.holder.substringBefore('#'))
             if (isArmed.get() && killed.size < limit && killed.addIfAbsent(holder)) holder.kill()
         }
-        val server = platform.onLoop { platform.primaryServer()?.also { it.target.drain() } }
-        Thread.sleep(random.nextLong(2_500, 7_000))
-        isArmed.set(false)
-        killed.forEach(HostProcess::start)
-        if (server != null) {
-            platform.onLoop { server.crash() }
-            Thread.sleep(RESTART_MILLIS)
-            platform.onLoop { server.start() }
+        val server = platform.onLoop { platform.primaryServer() }
+        val restartHosts = {
+            Thread.sleep(random.nextLong(2_500, 7_000))
+            isArmed.set(false)
+            killed.forEach(HostProcess::start)
+        }
+        val released = if (server == null) {
+            ""
+        } else {
+            withTarget(server) {
+                platform.onLoop { server.target.drain() }
+                restartHosts()
+                platform.onLoop { server.crash() }
+                Thread.sleep(RESTART_MILLIS)
+                platform.onLoop { server.start() }
+            }
         }
+        if (released.isEmpty()) restartHosts()
         killed.forEach(::awaitReady)
         return killed.joinToString { it.plan.name }
     }
@@ -274,6 +322,7 @@
         /** The time between SIGTERM and SIGKILL. */
         const val GRACE_MILLIS = 6_000L
         private const val DRAIN_MILLIS = 7_500L
+        private const val DEAF_MILLIS = 6_000L
         private const val MIN_PAUSE_MILLIS = 200L
         private const val MAX_PAUSE_MILLIS = 3_000L
         private const val POLL_MILLIS = 100L
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
@@ -16,7 +16,6 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.Callable
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
@@ -102,7 +101,7 @@
             }
             val probe = tasks.start { keyTrouble.probe(areCallersOver::get) }
             val watch = tasks.start { SoakWatch(installation, history).run(areCallersOver::get) }
-            val occupied = ConcurrentHashMap.newKeySet<DisturbedPart>()
+            val occupied = DisturbedParts()
             val disturbers = List(DISTURBERS) { number ->
                 val random = Random(seed * SEED_STEP - 1 - number)
                 val disturber = Disturber(installation, history, random, clocks, occupied)
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/LaneTarget.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/LaneTarget.kt
@@ -177,18 +177,25 @@
         report()
     }
 
-    /** Receives the log of [primary] from now on. What this target has beyond it is rolled back. */
+    /**
+     * Receives the log of [primary] from now on, or once it receives anything again. What this target has beyond it is
+     * rolled back at once.
+     */
     fun follow(primary: LaneTarget) {
         term = primary.term
         heldTerm = 0
-        val lost = copyLogOf(primary)
+        val lost = if (isReceiving) copyLogOf(primary) else dropWhatDiffersFrom(primary)
         lost.forEach { group.listener.onRolledBack(name, it) }
         if (lost.isNotEmpty()) busyUntilMillis = timers.nowMillis() + settings.rollbackMillis
     }
 
     /** Returns the commits that were rolled back. */
-    private fun copyLogOf(primary: LaneTarget): List<Commit> {
-        val lost = log.copyFrom(primary.log)
+    private fun copyLogOf(primary: LaneTarget): List<Commit> =
+        dropWhatDiffersFrom(primary).also { log.copyFrom(primary.log) }
+
+    /** Returns the commits that were rolled back. */
+    private fun dropWhatDiffersFrom(primary: LaneTarget): List<Commit> {
+        val lost = log.dropWhatDiffersFrom(primary.log)
         lost.firstOrNull()?.let { mostApplied = minOf(mostApplied, it.number - 1) }
         return lost
     }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetLog.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetLog.kt
@@ -27,8 +27,14 @@
         return null
     }
 
-    /** Replaces all that differs from [other]. Returns the commits that were rolled back. */
-    fun copyFrom(other: TargetLog): List<Commit> {
+    /** Replaces all that differs from [other]. */
+    fun copyFrom(other: TargetLog) {
+        dropWhatDiffersFrom(other)
+        entries += other.entries.subList(size, other.size)
+    }
+
+    /** Drops the end of the log from the first commit on that [other] does not have. Returns what was dropped. */
+    fun dropWhatDiffersFrom(other: TargetLog): List<Commit> {
         var common = 0
         val shorter = minOf(size, other.size)
         // Logs nearly always share all but their ends, so the search begins there.
@@ -40,7 +46,6 @@
         val tail = entries.subList(common, size)
         val lost = tail.toList()
         tail.clear()
-        entries += other.entries.subList(common, other.size)
         return lost
     }
 
