Takeover: only a group whose commits wait for a replica sends statements to a primary that is about to leave

Cause: did so in every group, though times and rules of groups without syncReplicas are to stay as they were: a host that learned late of a drain would have sent statements there later than before. Change: the bound is passed with the group's policy, and is 0 without syncReplicas.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -347,10 +347,17 @@
             val policy = configuration.groups[id]
             val group = groups.getOrPut(id) { newGroup(id) }
             group.controlCustomer = configuration.customersByKey.values.firstOrNull()?.id?.value
-            group.update(byGroup[id] ?: emptyList(), connectionShare(policy?.maxConnections), zoneRules(policy))
+            group.update(
+                byGroup[id] ?: emptyList(),
+                connectionShare(policy?.maxConnections),
+                zoneRules(policy),
+                leaveBoundMillis = if (isReplicated(id)) leaveBoundMillis else 0,
+            )
         }
     }
 
+    private fun isReplicated(id: DatabaseId) = configuration.groups[id]?.isReplicatedBeforeAcknowledged == true
+
     private fun zoneRules(policy: GroupPolicy?): ZoneRules {
         if (!features.drainsZones) return ZoneRules.OFF
         val perSecond = policy?.warmUpPerSecond?.takeIf { it > 0 }
@@ -369,16 +376,7 @@
     }
 
     private fun newGroup(id: DatabaseId): DatabaseGroup {
-        val group = DatabaseGroup(
-            id,
-            self.zone,
-            timers,
-            dialer,
-            groupRecords,
-            log,
-            features.learnsCapacity,
-            leaveBoundMillis,
-        )
+        val group = DatabaseGroup(id, self.zone, timers, dialer, groupRecords, log, features.learnsCapacity)
         group.onConfirmed = fleet::heartbeat
         group.onPrimaryUnreachable = { fleet.heartbeatSoon(Fleet.URGENT_HEARTBEAT_GAP_MILLIS) }
         takeovers[id] = Takeover(
@@ -388,7 +386,7 @@
             promotion = promotion,
             timers = timers,
             log = log,
-            isReplicated = { configuration.groups[id]?.isReplicatedBeforeAcknowledged == true },
+            isReplicated = { isReplicated(id) },
             customerName = { group.controlCustomer },
         )
         groupRecords.record(id)?.let(group::onRecord)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -24,7 +24,6 @@
  * @param zone this host's availability zone; targets in it are preferred
  * @param learnsCapacity true when the concurrency of each target is learned, by
  *   [dev.cardamomlane.core.capacity.LearnedCapacity]
- * @param leaveBoundMillis how soon after a target reports that it is about to leave it gets no more statements
  */
 public class DatabaseGroup(
     public val id: DatabaseId,
@@ -34,18 +33,9 @@
     private val records: GroupRecords,
     private val log: DecisionLog,
     private val learnsCapacity: Boolean = false,
-    leaveBoundMillis: Long = 0,
 ) : TargetListener {
-    private val roster = TargetRoster(
-        id,
-        timers,
-        dialer,
-        records,
-        log,
-        listener = this,
-        learnedZone = zone.takeIf { learnsCapacity },
-        leaveBoundMillis = leaveBoundMillis,
-    )
+    private val roster =
+        TargetRoster(id, timers, dialer, records, log, listener = this, learnedZone = zone.takeIf { learnsCapacity })
     private val queue = WorkQueue()
     private val positions = PrimaryPositions()
     private val uncertainAnswers = UncertainAnswerLog(id, timers, log)
@@ -100,10 +90,17 @@
      *
      * @param connectionShare the most connections that this host opens to each target
      * @param rules what drains of zones and the warm-up of targets ask for
+     * @param leaveBoundMillis how soon after a primary reports that it is about to leave it gets no more statements; 0 for at
+     *   once
      */
-    public fun update(entries: Collection<TargetEntry>, connectionShare: Int, rules: ZoneRules = ZoneRules.OFF) {
+    public fun update(
+        entries: Collection<TargetEntry>,
+        connectionShare: Int,
+        rules: ZoneRules = ZoneRules.OFF,
+        leaveBoundMillis: Long = 0,
+    ) {
         this.rules = rules
-        roster.update(entries, connectionShare, rules)
+        roster.update(entries, connectionShare, rules, leaveBoundMillis)
         startQueued()
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/TargetRoster.kt
@@ -19,7 +19,6 @@
  * Not safe for use by several threads.
  *
  * @param learnedZone this host's availability zone if the capacity of targets is learned, else null
- * @param leaveBoundMillis how soon after a target reports that it is about to leave it gets no more statements
  */
 internal class TargetRoster(
     private val group: DatabaseId,
@@ -29,10 +28,10 @@
     private val log: DecisionLog,
     private val listener: TargetListener,
     private val learnedZone: String? = null,
-    private val leaveBoundMillis: Long = 0,
 ) {
     private val targetsById = LinkedHashMap<TargetId, Target>()
     private var listedFromMillis: Long? = null
+    private var leaveBoundMillis = 0L
 
     /** The listed targets, and those that are no longer listed but still kept for a while. */
     val targets: Collection<Target> get() = targetsById.values
@@ -69,8 +68,11 @@
      *
      * @param connectionShare the most connections that this host opens to each target
      * @param rules what drains of zones and the warm-up of targets ask for
+     * @param leaveBoundMillis how soon after a primary reports that it is about to leave it gets no more statements; 0 for at
+     *   once
      */
-    fun update(entries: Collection<TargetEntry>, connectionShare: Int, rules: ZoneRules) {
+    fun update(entries: Collection<TargetEntry>, connectionShare: Int, rules: ZoneRules, leaveBoundMillis: Long = 0) {
+        this.leaveBoundMillis = leaveBoundMillis
         val nowMillis = timers.nowMillis()
         if (listedFromMillis == null && entries.isNotEmpty()) listedFromMillis = nowMillis
         for (entry in entries) {
