--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/Takeover.kt
@@ -100,8 +100,8 @@
             val dueAfterMillis = when {
                 record.holder == self -> 0
                 fleet.isHolderGone(record.holder, nowMillis) -> GONE_HOLDER_MILLIS
-                isReplicated() -> STALLED_HOLDER_MILLIS + PromotionRule.REPLICA_WAIT_MILLIS
-                else -> STALLED_HOLDER_MILLIS
+                else -> STALLED_HOLDER_MILLIS + drain.informingMillis(nowMillis) +
+                    if (isReplicated()) PromotionRule.REPLICA_WAIT_MILLIS else 0
             }
             if (stalledMillis >= dueAfterMillis) claim("stalled takeover", record.isPlanned, nowMillis)
             return
@@ -349,7 +349,8 @@
         /**
          * A takeover whose record has not changed for this time is claimed again by another host. Must exceed the wait
          * for old proof to expire, [TakeoverDrain.PROOF_EXPIRY_MILLIS], or a takeover that lacks
-         * the confirmation of a host would be claimed again before its promotion.
+         * the confirmation of a host would be claimed again before its promotion. Waits that not every takeover has are
+         * added, or hosts would claim one from each other for good.
          */
         const val STALLED_HOLDER_MILLIS = 3_000L
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverDrain.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/fleet/TakeoverDrain.kt
@@ -28,6 +28,10 @@
         return nowMillis - since > TOO_FEW_ALIVE_MILLIS
     }
 
+    /** How long a takeover may wait until enough members are taken to know of it, as [hasOldProofExpired] does. */
+    fun informingMillis(nowMillis: Long): Long =
+        if (fleet.aliveCount(nowMillis) < fleet.blockingCount) TOO_FEW_ALIVE_MILLIS else 0
+
     /** True when this host and every other member have confirmed [claim], or an earlier one of the same takeover. */
     fun isConfirmed(claim: GroupRecord): Boolean =
         group.confirmedFence >= claim.takeoverFence && fleet.peers.all { peer ->
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -217,6 +217,25 @@
         assertTrue(fixture.store.written.isEmpty())
     }
 
+    /** Guards against hosts that claim a takeover from each other for good while most seats are those of lost hosts, review/7. */
+    @Test
+    fun `a primary is replaced after the loss of most members at once`() {
+        val fixture = HostFixture(hostCount = 9)
+        useEverywhere(fixture)
+        fixture.timers.advance(200)
+        (3 until 9).forEach(fixture::kill)
+        crash("p", fixture)
+
+        repeat(30) {
+            (0 until 3).forEach { fixture.open(FakeCaller(), host = it).onStatement("w$it", write) }
+            fixture.timers.advance(1_000)
+        }
+
+        assertEquals(1, fixture.promotions.size, "${fixture.promotions}")
+        val caller = FakeCaller()
+        assertNull(fixture.ask(fixture.open(caller), caller, write)?.error)
+    }
+
     @Test
     fun `a takeover whose holder is gone is finished by another host`() {
         useEverywhere()
