Takeover: a primary of an earlier term counts for the commits that the last one was promoted with; schedules that can tell

In the schedules a replica that came back got the log of a primary that had ended, so that no primary ever alone held the commits it was promoted for; an unlisted old primary, or a host that had just started, made two engine cases wait for another reason. With that mended, the schedules showed that the rule ignored the log of a primary of an earlier term also where the chosen replica lacks the start of the last term.

Change: the model follows only a primary that runs, and comes back as a replica; such a log is waited for; the two cases wait for nothing else. The schedules' excuse for what was given up no longer covers commits of earlier terms at the old primary.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/takeover/PromotionRule.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/takeover/PromotionRule.kt
@@ -85,14 +85,15 @@
         .map { it.id }
 
     private fun TakeoverFacts.mayHoldMore(other: TargetFacts, best: TargetFacts): Boolean {
-        // What the old primary has of its own term was acknowledged only if a replica has it too.
-        val isNeeded = if (other.id == primary) isReplica(other) || !hasStartOfTerm(best) else !isPrimary(other)
+        // What a primary has of its own term was acknowledged only if a replica has it too.
+        val hasLed = other.id == primary || isPrimary(other)
+        val isNeeded = !hasLed || isReplica(other) || !hasStartOfTerm(best)
         return isNeeded && (other.received == null || end(other) > end(best))
     }
 
     private fun isReplica(target: TargetFacts): Boolean = target.answer?.isPrimary == false
 
-    /** True for a primary of an earlier term, which has followed none since: what it has more was rolled back elsewhere. */
+    /** True for a primary of an earlier term, which has followed none since. */
     private fun isPrimary(target: TargetFacts): Boolean = target.answer?.isPrimary == true
 
     /** True when the log of [replica] surely has what [TakeoverFacts.primary] had when its promotion was ordered. */
--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/takeover/PromotionRuleTest.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/takeover/PromotionRuleTest.kt
@@ -181,6 +181,19 @@
         )
     }
 
+    /** Guards against the loss of commits that an earlier primary has and the last one was promoted with. */
+    @Test
+    fun `a primary of an earlier term is waited for while no replica has the log up to the start of the last term`() {
+        val ended = target("p", answer = null, isGone = true)
+        val earlier = target("r2", primary(9, term = 1))
+        val start = LogPosition(1, 9)
+
+        val behind = decide(ended, target("r1", replica(5, term = 2)), earlier, startOfTerm = start, term = 2)
+        val caughtUp = decide(ended, target("r1", replica(9, term = 2)), earlier, startOfTerm = start, term = 2)
+
+        assertEquals(listOf(waitFor("r2"), promote("r1")), listOf(behind, caughtUp))
+    }
+
     @Test
     fun `a primary of an earlier term that has not stepped down leads no one and is not waited for`() {
         val formerPrimary = target("r2", primary(20, term = 1))
--- a/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/takeover/TakeoverSchedule.kt
+++ b/cardamomlane-core/src/test/kotlin/dev/cardamomlane/core/takeover/TakeoverSchedule.kt
@@ -22,6 +22,7 @@
     private var nextCommit = 0
     private var primary = replicas.first().also { it.isPrimary = true }
     private var startOfTerm: LogPosition? = null
+    private var firstOfTerm = 0
     private var silentSinceMillis: Long? = null
     private var takeover: Takeover? = null
     private val notRunningSinceMillis = HashMap<TargetId, Long>()
@@ -87,7 +88,12 @@
 
     private fun hear(target: ModelReplica) {
         target.isDeaf = false
-        if (target !== primary) target.receive(primary)
+        follow(target)
+    }
+
+    /** The target follows the primary from now on, unless one of them does not run. */
+    private fun follow(target: ModelReplica) {
+        if (target !== primary && target.isRunning && primary.isRunning) target.follow(primary)
     }
 
     /** How long a target that ends is away, seldom for long. */
@@ -102,7 +108,7 @@
         after(DRAIN_MILLIS + random.nextLong(3_000)) { end(target, awayMillis = 300 + random.nextLong(2_000)) }
     }
 
-    /** The target ends, and starts again with its log. */
+    /** The target ends, and starts again with its log, as a replica if another one was promoted meanwhile. */
     private fun end(target: ModelReplica, awayMillis: Long) {
         if (!target.isRunning) return
         target.isRunning = false
@@ -111,7 +117,8 @@
         after(awayMillis) {
             target.isRunning = true
             target.endedAtMillis = null
-            if (target !== primary) target.follow(primary)
+            target.isPrimary = target === primary
+            if (target === primary) replicas.forEach(::follow) else follow(target)
         }
     }
 
@@ -196,18 +203,21 @@
         if (current.hasWaited) waitCount++
         if (givenUp.isNotEmpty()) givenUpCount++
         startOfTerm = received
+        firstOfTerm = nextCommit
         primary = target
         target.isPrimary = true
         target.knownTerm = replicas.maxOf { it.knownTerm } + 1
-        replicas.filter { it !== target && it.isRunning }.forEach { it.follow(target) }
+        replicas.forEach(::follow)
         takeover = null
         silentSinceMillis = null
     }
 
-    /** What only the targets in [givenUp] had may be lost. */
+    /** What only the targets in [givenUp] had may be lost. For the commits of its own term the old primary does not count. */
     private fun check(target: ModelReplica, givenUp: Set<TargetId>) {
         val lost = acknowledged - target.log.toSet()
-        val isExcused = lost.all { commit -> replicas.filter { commit in it.log }.all { it.id in givenUp } }
+        val isExcused = lost.all { commit ->
+            replicas.filter { commit in it.log && (it !== primary || commit < firstOfTerm) }.all { it.id in givenUp }
+        }
         if (lost.isNotEmpty() && !isExcused) {
             findings +=
                 "${lost.size} acknowledged commits are not in the log of ${target.id}, promoted at $nowMillis ms"
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/ReplicatedTakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/ReplicatedTakeoverTest.kt
@@ -41,9 +41,9 @@
     }
 
     private fun entries(vararg draining: String, unlisted: Set<String> = emptySet()): List<TargetEntry> =
-        listOf(targetEntry("p", isPrimary = true, isDraining = "p" in draining)) +
-            listOf("r1", "r2").filter { it !in unlisted }
-                .map { targetEntry(it, isDraining = it in draining, zone = if (it == "r2") "z" else "a") }
+        listOf("p", "r1", "r2").filter { it !in unlisted }.map {
+            targetEntry(it, isPrimary = it == "p", isDraining = it in draining, zone = if (it == "r2") "z" else "a")
+        }
 
     private fun list(entries: List<TargetEntry>) {
         listVersion++
@@ -178,7 +178,10 @@
         crash("p")
         fixture.timers.advance(3_000)
         assertEquals("r2", primary())
-        // It follows the new primary but has received nothing from it yet.
+        // The old primary is gone for good.
+        list(entries("r2", unlisted = setOf("p")))
+        fixture.timers.advance(8_500)
+        // The other replica follows the new primary but has received nothing from it yet.
         fixture.targets.target("r1").position = LogPosition(2, 2)
         crash("r2")
         fixture.timers.advance(5_000)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/fleet/TakeoverTest.kt
@@ -77,7 +77,12 @@
     /** Guards against the loss of a commit that only a replica has which was silent for so long that it left the list. */
     @Test
     fun `a takeover that needs every replica waits for one that has left the list, and promotes it when it is back`() {
-        val fixture = HostFixture(hostCount = 3, isReplicatedBeforeAcknowledged = true)
+        val fixture = HostFixture(
+            hostCount = 3,
+            // So long that the hosts know of every target, and wait for none but this one.
+            settleMillis = 9_000,
+            isReplicatedBeforeAcknowledged = true,
+        )
         useEverywhere(fixture)
         fixture.timers.advance(200)
         fixture.targets.target("r2").position = LogPosition(1, 9)
