--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/takeover/PromotionRule.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/takeover/PromotionRule.kt
@@ -22,7 +22,8 @@
  * - it has been waited for during [REPLICA_WAIT_MILLIS], and the old primary does not answer either.
  *
  * The log of the old primary is waited for as well while no replica is known to have it up to the start of its term: commits
- * that earlier primaries acknowledged may be there alone, when it was promoted for them and no replica has caught up.
+ * that earlier primaries acknowledged may be there alone, when it was promoted for them and no replica has caught up. So is that
+ * of an earlier primary which has not stepped down.
  *
  * Elsewhere an acknowledgement rests on the primary alone, and of the replicas that may serve the one with the longest log
  * is promoted at once.
