--- a/review/standin-3/Database.java
+++ b/review/standin-3/Database.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.atomic.*;
 
 /**
- * One backend of a service. It keeps one log for its whole service, as if replicas were never behind, and answers as
- * the page tells. A read answers the rows that [rows] gives.
+ * One backend of a service, which answers as the page tells. All backends of a service share one log, of which a
+ * replica has applied what is older than its lag.
  */
 final class Database {
     final String service, id, zone;
@@ -16,18 +16,43 @@
     private final Group group;
     private final AtomicInteger connections = new AtomicInteger();
     private volatile boolean isEnded;
+    /** How long after a commit a replica applies it. */
+    volatile long lagMillis = 8;
 
     /** What the backends of a service share: its log, and who leads. */
     static final class Group {
         final List<Database> databases = new CopyOnWriteArrayList<>();
         volatile Database primary;
-        final AtomicLong term = new AtomicLong(3), number = new AtomicLong(100);
-        /** The rows that a read of an item answers. */
-        volatile java.util.function.Function<String, List<String>> rows = item -> List.of("v" + item);
+        final AtomicLong term = new AtomicLong(3);
+        private final List<Commit> log = new ArrayList<>();
+        /** The rows that a read of an item answers in place of the item's value, or null. */
+        volatile java.util.function.Function<String, List<String>> rows;
+
+        synchronized long append(Map<String, String> writes) {
+            log.add(new Commit(System.nanoTime(), Map.copyOf(writes)));
+            return FIRST + log.size();
+        }
+
+        /** The number of the last commit that was made [lagMillis] ago or earlier. */
+        synchronized long applied(long lagMillis) {
+            long until = System.nanoTime() - lagMillis * 1_000_000;
+            int count = log.size();
+            while (count > 0 && log.get(count - 1).nanos > until) count--;
+            return FIRST + count;
+        }
 
-        String position() {
-            return term.get() + "." + number.get();
+        /** The value of [item] after the commit [number]. */
+        synchronized String value(String item, long number) {
+            for (int i = (int) (number - FIRST) - 1; i >= 0; i--) {
+                String value = log.get(i).writes.get(item);
+                if (value != null) return value;
+            }
+            return "none";
         }
+
+        private static final long FIRST = 100;
+
+        private record Commit(long nanos, Map<String, String> writes) {}
     }
 
     Database(Recorder record, Group group, String service, String id, String zone, InetSocketAddress address)
@@ -65,6 +90,15 @@
         return map;
     }
 
+    /** The number up to which this backend has applied the log. */
+    long applied() {
+        return group.applied(group.primary == this ? 0 : lagMillis);
+    }
+
+    private String position() {
+        return group.term.get() + "." + applied();
+    }
+
     private String role() {
         return group.primary == this ? "primary" : "replica";
     }
@@ -90,7 +124,7 @@
                 out.flush();
                 return;
             }
-            out.write(Lines.bytes("READY I " + group.position()));
+            out.write(Lines.bytes("READY I " + position()));
             out.flush();
             new Session(start.length > 2 ? start[2] : "-", in, out).run();
         } finally {
@@ -104,7 +138,7 @@
         private final OutputStream out;
         private final Map<String, String> prepared = new HashMap<>();
         private String state = "I";
-        private boolean hasWritten;
+        private final Map<String, String> writes = new HashMap<>();
 
         Session(String tenant, Lines in, OutputStream out) {
             this.tenant = tenant;
@@ -116,8 +150,13 @@
             for (String line = in.next(); line != null && !line.equals("QUIT"); line = in.next()) {
                 String[] words = line.split(" ", 3);
                 String text = words[2];
-                if (text.startsWith("AFTER ")) text = text.split(" ", 3)[2];
-                answer(words[1], text);
+                long after = 0;
+                if (text.startsWith("AFTER ")) {
+                    after = Long.parseLong(text.split(" ", 3)[1].split("\\.")[1]);
+                    text = text.split(" ", 3)[2];
+                }
+                if (after > applied()) error("LAGGING", position());
+                else answer(words[1], text);
                 out.flush();
             }
         }
@@ -126,8 +165,7 @@
             String[] words = text.split(" ", 4);
             switch (words[0]) {
                 case "STATUS", "PAUSE", "RESUME", "DEMOTE" -> {
-                    send("ROW " + role() + " " + group.term + " " + group.position() + " " + group.term + " 0 0 "
-                        + connections);
+                    send("ROW " + role() + " " + group.term + " " + position() + " 0 " + lagMillis + " 0 " + connections);
                     done("-");
                 }
                 case "RESET" -> {
@@ -148,7 +186,7 @@
                         error("READONLY", "replica");
                     } else {
                         state = "T";
-                        hasWritten = false;
+                        writes.clear();
                         done("-");
                     }
                 }
@@ -157,38 +195,40 @@
                     done("-");
                 }
                 case "COMMIT" -> {
-                    if (hasWritten) group.number.incrementAndGet();
+                    if (!writes.isEmpty()) group.append(writes);
                     state = "I";
-                    record.line("%s runs COMMIT, id %s, tenant %s", Database.this.id, id, tenant);
+                    record.line("%s runs COMMIT, id %s, tenant %s, log at %s", Database.this.id, id, tenant, position());
                     done(digest(id));
                 }
                 case "READ" -> read(id, words[1]);
-                case "WRITE" -> write(id);
+                case "WRITE" -> write(id, words[1], words[2]);
                 case "EXEC" -> {
                     String kind = prepared.get(words[1]);
                     if (kind == null) error("NOSTMT", words[1]);
                     else if (kind.equals("READ")) read(id, words[2]);
-                    else write(id);
+                    else write(id, words[2], words.length > 3 ? words[3] : "");
                 }
                 default -> error("MALFORMED", words[0]);
             }
         }
 
         private void read(String id, String item) throws IOException {
-            List<String> rows = group.rows.apply(item);
-            record.line("%s runs READ %s, id %s, tenant %s", Database.this.id, item, id, tenant);
+            long number = applied();
+            List<String> rows = group.rows == null ? List.of(group.value(item, number)) : group.rows.apply(item);
+            record.line("%s runs READ %s, id %s, tenant %s, log at %d.%d", Database.this.id, item, id, tenant,
+                group.term.get(), number);
             for (String row : rows) send("ROW " + row);
             done(digest(id));
         }
 
-        private void write(String id) throws IOException {
+        private void write(String id, String item, String data) throws IOException {
             if (group.primary != Database.this) {
                 error("READONLY", "replica");
                 return;
             }
-            record.line("%s runs WRITE, id %s, tenant %s", Database.this.id, id, tenant);
-            if (state.equals("I")) group.number.incrementAndGet();
-            else hasWritten = true;
+            if (state.equals("I")) group.append(Map.of(item, data));
+            else writes.put(item, data);
+            record.line("%s runs WRITE %s, id %s, tenant %s, log at %s", Database.this.id, item, id, tenant, position());
             done(digest(id));
         }
 
@@ -198,13 +238,13 @@
 
         private void done(String digest) throws IOException {
             send("DONE " + digest);
-            send("READY " + state + " " + group.position());
+            send("READY " + state + " " + position());
         }
 
         private void error(String code, String text) throws IOException {
             if (state.equals("T")) state = "E";
             send("ERR " + code + " " + text);
-            send("READY " + state + " " + group.position());
+            send("READY " + state + " " + position());
         }
 
         private void send(String line) throws IOException {
