review: lost answers to hedged reads leave a target without connections (case 13)

Cause: a hedged read that is answered by its second target leaves its first attempt with a connection and a slot at the first target, for good. No product code.

--- a/review/standin-3/Database.java
+++ b/review/standin-3/Database.java
@@ -9,15 +9,26 @@
  * replica has applied what is older than its lag.
  */
 final class Database {
+    /** How long a connection may be idle; idle_close_ms of the site file. */
+    private static final int IDLE_CLOSE_MILLIS = 60_000;
+    private static final int SLOTS = 5, PROMOTE_MILLIS = 300;
+
     final String service, id, zone;
     final InetSocketAddress address;
     private final Recorder record;
-    private final ServerSocket listener;
+    private volatile ServerSocket listener;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final Group group;
     private final AtomicInteger connections = new AtomicInteger();
-    private volatile boolean isEnded;
+    volatile boolean isDown;
     /** How long after a commit a replica applies it. */
     volatile long lagMillis = 8;
+    /** Which part of the answers to requests that it has run is lost. The connection goes on. */
+    volatile double lostAnswers;
+    private final AtomicInteger lost = new AtomicInteger();
+    /** How long a read and a write take in one of the slots. */
+    volatile long readMillis, writeMillis;
+    private final Semaphore slots = new Semaphore(SLOTS, true);
 
     /** What the backends of a service share: its log, and who leads. */
     static final class Group {
@@ -62,17 +73,42 @@
         this.service = service;
         this.id = id;
         this.zone = zone;
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(address, 200);
-        this.address = (InetSocketAddress) listener.getLocalSocketAddress();
+        this.address = listen(address);
         group.databases.add(this);
+    }
+
+    private InetSocketAddress listen(InetSocketAddress at) throws IOException {
+        ServerSocket opened = new ServerSocket();
+        opened.setReuseAddress(true);
+        opened.bind(at, 200);
+        listener = opened;
         Threads.start("database " + id, () -> {
-            while (!isEnded) {
-                Socket socket = listener.accept();
+            while (true) {
+                Socket socket = opened.accept();
                 Threads.start("connection of " + id, () -> serve(socket));
             }
         });
+        return (InetSocketAddress) opened.getLocalSocketAddress();
+    }
+
+    /** Ends the backend at once: its port refuses connections, and open ones are closed. */
+    void crash() throws IOException {
+        record.line("%s crashes", id);
+        isDown = true;
+        listener.close();
+        for (Socket socket : sockets) socket.close();
+    }
+
+    /** Starts the backend again, with its log. */
+    void restart() throws IOException {
+        listen(address);
+        isDown = false;
+        record.line("%s runs again, as %s", id, role());
+    }
+
+    /** How many answers were lost so far. */
+    int lostCount() {
+        return lost.get();
     }
 
     Map<String, Object> entry(long seq) {
@@ -81,7 +117,7 @@
         map.put("addr", address.getHostString() + ":" + address.getPort());
         map.put("zone", zone);
         map.put("version", "v1");
-        map.put("slots", 5);
+        map.put("slots", SLOTS);
         map.put("state", "ready");
         map.put("warmupMs", 0);
         map.put("dbRole", role());
@@ -99,14 +135,24 @@
         return group.term.get() + "." + applied();
     }
 
-    private String role() {
+    /** Makes this backend the primary of the next term, some hundred ms after the call that asks for it. */
+    void promote() throws InterruptedException {
+        Thread.sleep(PROMOTE_MILLIS);
+        if (isDown || group.primary == this) return;
+        group.primary = this;
+        record.line("%s leads term %d", id, group.term.incrementAndGet());
+    }
+
+    String role() {
         return group.primary == this ? "primary" : "replica";
     }
 
     private void serve(Socket socket) throws IOException {
         connections.incrementAndGet();
+        sockets.add(socket);
         try (socket) {
             socket.setTcpNoDelay(true);
+            socket.setSoTimeout(IDLE_CLOSE_MILLIS);
             Lines in = new Lines(socket.getInputStream(), 8192);
             OutputStream out = new BufferedOutputStream(socket.getOutputStream(), 65_536);
             String first = in.next();
@@ -128,6 +174,7 @@
             out.flush();
             new Session(start.length > 2 ? start[2] : "-", in, out).run();
         } finally {
+            sockets.remove(socket);
             connections.decrementAndGet();
         }
     }
@@ -138,6 +185,7 @@
         private final OutputStream out;
         private final Map<String, String> prepared = new HashMap<>();
         private String state = "I";
+        private boolean isAnswerLost;
         private final Map<String, String> writes = new HashMap<>();
 
         Session(String tenant, Lines in, OutputStream out) {
@@ -155,6 +203,7 @@
                     after = Long.parseLong(text.split(" ", 3)[1].split("\\.")[1]);
                     text = text.split(" ", 3)[2];
                 }
+                isAnswerLost = false;
                 if (after > applied()) error("LAGGING", position());
                 else answer(words[1], text);
                 out.flush();
@@ -198,6 +247,7 @@
                     if (!writes.isEmpty()) group.append(writes);
                     state = "I";
                     record.line("%s runs COMMIT, id %s, tenant %s, log at %s", Database.this.id, id, tenant, position());
+                    loseSome(id);
                     done(digest(id));
                 }
                 case "READ" -> read(id, words[1]);
@@ -213,22 +263,45 @@
         }
 
         private void read(String id, String item) throws IOException {
+            work(readMillis);
             long number = applied();
             List<String> rows = group.rows == null ? List.of(group.value(item, number)) : group.rows.apply(item);
             record.line("%s runs READ %s, id %s, tenant %s, log at %d.%d", Database.this.id, item, id, tenant,
                 group.term.get(), number);
+            loseSome(id);
             for (String row : rows) send("ROW " + row);
             done(digest(id));
         }
 
+        private void work(long millis) {
+            if (millis == 0) return;
+            slots.acquireUninterruptibly();
+            try {
+                Thread.sleep(millis);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } finally {
+                slots.release();
+            }
+        }
+
+        private void loseSome(String id) {
+            if (ThreadLocalRandom.current().nextDouble() >= lostAnswers) return;
+            isAnswerLost = true;
+            lost.incrementAndGet();
+            record.line("%s loses its answer to %s", Database.this.id, id);
+        }
+
         private void write(String id, String item, String data) throws IOException {
             if (group.primary != Database.this) {
                 error("READONLY", "replica");
                 return;
             }
+            work(writeMillis);
             if (state.equals("I")) group.append(Map.of(item, data));
             else writes.put(item, data);
             record.line("%s runs WRITE %s, id %s, tenant %s, log at %s", Database.this.id, item, id, tenant, position());
+            loseSome(id);
             done(digest(id));
         }
 
@@ -248,7 +321,7 @@
         }
 
         private void send(String line) throws IOException {
-            out.write(Lines.bytes(line));
+            if (!isAnswerLost) out.write(Lines.bytes(line));
         }
     }
 }
--- a/review/standin-3/Installation.java
+++ b/review/standin-3/Installation.java
@@ -6,6 +6,7 @@
 /** A small installation: the store, one service of three databases, and six hosts in three zones. */
 final class Installation implements AutoCloseable {
     static final String SERVICE = "huvo11a", KEY = "u6wsjnbanfqasnmgkcuy", TENANT = "nypu920";
+    private static final long HEARTBEAT_MILLIS = 1_200;
     static final List<String> ZONES = List.of("kranj", "ljubljana", "maribor");
 
     final Recorder record;
@@ -25,6 +26,17 @@
                 new InetSocketAddress("127.0.7." + (2 + i), 0));
             if (i == 0) group.primary = database;
         }
+        store.promoter = this::promote;
+    }
+
+    private int promote(String service, String id, String holder, String fence) {
+        record.line("%s asks to promote %s, with fence %s", holder, id, fence);
+        for (Database database : group.databases) {
+            if (!database.id.equals(id) || database.isDown) continue;
+            if (group.primary != database) Threads.start("promote", database::promote);
+            return 200;
+        }
+        return 409;
     }
 
     Map<String, Object> route(String name, String type, int timeoutMillis) {
@@ -62,8 +74,8 @@
         tenant.put("name", TENANT);
         tenant.put("apiKeys", List.of(KEY));
         tenant.put("prio", 1);
-        tenant.put("opsPerS", 200);
-        tenant.put("burst", 200);
+        tenant.put("opsPerS", 400);
+        tenant.put("burst", 400);
         Map<String, Object> config = new LinkedHashMap<>();
         version += 3;
         config.put("version", version);
@@ -77,20 +89,33 @@
 
     /** Starts the backends' reports and the hosts. Returns false if they aren't ready in time. */
     boolean start() throws IOException, InterruptedException {
-        long seq = 1;
-        for (Database database : group.databases) store.put("servers", database.id, database.entry(seq));
-        Threads.start("reports", () -> {
-            for (long next = 2; ; next++) {
-                Thread.sleep(1200);
-                for (Database database : group.databases) store.put("servers", database.id, database.entry(next));
-            }
-        });
+        Threads.start("reports", this::report);
         fleet.startAll();
         boolean isReady = fleet.awaitReady(40);
         record.line(isReady ? "all hosts are ready" : "the hosts aren't ready in time");
         return isReady;
     }
 
+    /** Writes the backends' entries: each 1,200 ms, at once when a role changes, and none for one that is down. */
+    private void report() throws InterruptedException {
+        Map<Database, String> written = new HashMap<>();
+        Map<Database, Long> writtenMillis = new HashMap<>();
+        for (long seq = 1; ; Thread.sleep(20)) {
+            for (Database database : group.databases) {
+                long sinceMillis = record.millis() - writtenMillis.getOrDefault(database, -HEARTBEAT_MILLIS);
+                if (database.isDown) {
+                    if (sinceMillis > 3 * HEARTBEAT_MILLIS && written.remove(database) != null) {
+                        store.drop("servers", database.id);
+                    }
+                } else if (sinceMillis >= HEARTBEAT_MILLIS || !database.role().equals(written.get(database))) {
+                    store.put("servers", database.id, database.entry(seq++));
+                    written.put(database, database.role());
+                    writtenMillis.put(database, record.millis());
+                }
+            }
+        }
+    }
+
     @Override
     public void close() throws IOException {
         fleet.close();
