review: the case on long answers is dropped, review/8 shows it

Change: it is removed with its stand-in; the cases on lost answers and on open transactions are now review/11 and review/13. Unused parts of the stand-ins are removed.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/11 to review/15 start. Needs the JDK only, no network.
+# Builds the stand-ins that the scripts of review/11 to review/13 start. Needs the JDK only, no network.
 set -euo pipefail
 cd "$(dirname "$0")/standin-3"
 rm -rf target
--- a/review/standin-3/Database.java
+++ b/review/standin-3/Database.java
@@ -36,8 +36,6 @@
         volatile Database primary;
         final AtomicLong term = new AtomicLong(3);
         private final List<Commit> log = new ArrayList<>();
-        /** The rows that a read of an item answers in place of the item's value, or null. */
-        volatile java.util.function.Function<String, List<String>> rows;
 
         synchronized long append(Map<String, String> writes) {
             log.add(new Commit(System.nanoTime(), Map.copyOf(writes)));
@@ -265,11 +263,10 @@
         private void read(String id, String item) throws IOException {
             work(readMillis);
             long number = applied();
-            List<String> rows = group.rows == null ? List.of(group.value(item, number)) : group.rows.apply(item);
             record.line("%s runs READ %s, id %s, tenant %s, log at %d.%d", Database.this.id, item, id, tenant,
                 group.term.get(), number);
             loseSome(id);
-            for (String row : rows) send("ROW " + row);
+            send("ROW " + group.value(item, number));
             done(digest(id));
         }
 
--- a/review/standin-3/Fleet.java
+++ b/review/standin-3/Fleet.java
@@ -21,7 +21,6 @@
     private final Recorder record;
     private final List<String> command;
     private final String platform;
-    final Map<String, String> extra = new LinkedHashMap<>();
 
     /** Makes the plan of [count] hosts in [zones]; none is started yet. */
     Fleet(Recorder record, Path directory, String platform, int count, List<String> zones) throws IOException {
@@ -166,7 +165,6 @@
         text.append(fixed);
         text.append("platform.addr=").append(platform).append('\n');
         text.append("cloud.addr=").append(platform).append('\n');
-        extra.forEach((name, value) -> text.append(name).append('=').append(value).append('\n'));
         return text.toString();
     }
 
