--- a/review/standin-3/OwnWriteCase.java
+++ b/review/standin-3/OwnWriteCase.java
@@ -13,11 +13,14 @@
  */
 final class OwnWriteCase {
     private static final boolean HAS_TROUBLE = !"0".equals(System.getenv("TROUBLE"));
-    private static final int LAG_MILLIS = 1_200, SESSIONS = 6, BACK_MILLIS = 250;
+    private static final int LAG_MILLIS = 1_200, SESSIONS = 12, READS = 3;
+    private static final int READ_MILLIS = 33, WRITE_MILLIS = 11, BACK_MILLIS = 250;
 
     private final Recorder record;
     private final Installation installation;
+    private final CountDownLatch isInForce = new CountDownLatch(1);
     private volatile boolean isOver;
+    private int stale, fresh, other;
 
     private OwnWriteCase(Recorder record, Installation installation) {
         this.record = record;
@@ -42,6 +45,10 @@
         record.line("trouble: %s", HAS_TROUBLE);
         Map<String, Object> primary = installation.route("lepu270", "primary", 1_000);
         installation.configure(List.of(installation.route("xapu221", "bounded", 3_000), primary));
+        for (Database database : installation.group.databases) {
+            database.readMillis = READ_MILLIS;
+            database.writeMillis = WRITE_MILLIS;
+        }
         if (!installation.start()) return 2;
         Fleet.Host host = installation.fleet.hosts.get(0);
         for (String database : List.of("lepu270", "xapu221", "xapu221")) Threads.start("others", () -> others(host, database));
@@ -53,24 +60,13 @@
             record.line("%s applies commits %d ms late from now on", lagging.id, LAG_MILLIS);
         }
         Thread.sleep(500);
-        List<Caller> callers = new ArrayList<>();
-        List<String> ids = new ArrayList<>();
-        for (int i = 0; i < SESSIONS; i++) {
-            ids.add(String.format("%02x5e0e7a21d9", i));
-            callers.add(new Caller(record, host, "xapu221"));
-        }
-        // The last session reads in no transaction, to compare.
+        CountDownLatch written = new CountDownLatch(SESSIONS);
+        List<Thread> sessions = new ArrayList<>();
         for (int i = 0; i < SESSIONS; i++) {
-            Caller caller = callers.get(i);
-            String id = ids.get(i);
-            boolean isDone = caller.ask(id + "01", "WRITE 1a" + i + " new" + i).isSuccess();
-            if (i < SESSIONS - 1) {
-                caller.ask(id + "02", "BEGIN READ");
-                caller.ask(id + "03", "READ 3c" + i);
-                isDone = caller.ask(id + "04", "COMMIT").isSuccess() && isDone;
-            }
-            if (!isDone) return 2;
+            int number = i;
+            sessions.add(Threads.start("session", () -> session(host, number, written)));
         }
+        if (!written.await(5, TimeUnit.SECONDS)) return 2;
 
         Map<String, Object> session = installation.route("xapu221", "session", 3_000);
         session.put("name", "r-xapu221-new");
@@ -78,20 +74,42 @@
         if (!awaitEffect(host)) return 2;
         Thread.sleep(BACK_MILLIS + 50);
 
-        int stale = 0, fresh = 0, other = 0;
-        for (int i = 0; i < SESSIONS; i++) {
-            Caller.Answer answer = callers.get(i).ask(ids.get(i) + "05", "READ 1a" + i);
-            if (!answer.isSuccess()) other++;
-            else if (answer.rows().contains("new" + i)) fresh++;
-            else stale++;
-        }
+        isInForce.countDown();
+        for (Thread each : sessions) each.join(5_000);
         isOver = true;
         lagging.lagMillis = 8;
+        if (HAS_TROUBLE) record.line("%s applies commits as before again", lagging.id);
         record.line("%d reads missed the session's own commit, %d showed it, %d other ends", stale, fresh, other);
         if (stale > 0) return 1;
         return fresh > 0 ? 0 : 2;
     }
 
+    /**
+     * Writes an item, reads in a transaction (but for the last two sessions, to compare), and reads the item several times
+     * once the newest config is in force.
+     */
+    private void session(Fleet.Host host, int number, CountDownLatch written) throws Exception {
+        String id = String.format("%02x5e0e7a21d9", number), item = "1a" + number, value = "new" + number;
+        try (Caller caller = new Caller(record, host, "xapu221")) {
+            boolean isDone = caller.ask(id + "01", "WRITE " + item + " " + value).isSuccess();
+            if (number < SESSIONS - 2) {
+                caller.ask(id + "02", "BEGIN READ");
+                caller.ask(id + "03", "READ 3c" + number);
+                isDone = caller.ask(id + "04", "COMMIT").isSuccess() && isDone;
+            }
+            written.countDown();
+            isInForce.await();
+            for (int i = 0; i < READS; i++) {
+                Caller.Answer answer = caller.ask(id + "1" + i, "READ " + item);
+                synchronized (this) {
+                    if (!isDone || !answer.isSuccess()) other++;
+                    else if (answer.rows().contains(value)) fresh++;
+                    else stale++;
+                }
+            }
+        }
+    }
+
     /** Waits until a backend runs a read on the route that the newest config has added, so that it is in force. */
     private boolean awaitEffect(Fleet.Host host) throws InterruptedException {
         for (int i = 0; i < 40; i++) {
