Soak: routes change under open sessions, beside replicas that lag

Cause: the twenty kinds of disturbances changed keys, never a route, and there was one database group. Change: ROUTE_CHANGE adds and removes routes, gives them another type, and moves them to a second group with a shorter log and back, under sessions that go on. Each configuration has a route for probes, so that it is known from when on a host goes by it. Commits count in the log that holds them.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
@@ -20,6 +20,7 @@
  *
  * @param directory for the settings and logs of the hosts
  * @param syncReplicaCount how many replicas must have a commit before it is acknowledged
+ * @param hasSecondGroup whether there is a second database group, to which routes can be moved
  * @param hostVariables further variables of the hosts' environment, see [HostProcess]
  */
 internal class LaneInstallation(
@@ -32,12 +33,13 @@
     deployFile: Path = Path.of("deploy/system.toml"),
     hostVariables: Map<String, String> = emptyMap(),
     syncReplicaCount: Int = 0,
+    hasSecondGroup: Boolean = false,
 ) : AutoCloseable {
     private val network = LoopbackNetwork.pick()
 
     /** Gives the statements of all callers their ids. */
     val ids = StatementIds()
-    val platform = LanePlatform(site, network, customerCount, ratePerSecond, record, syncReplicaCount)
+    val platform = LanePlatform(site, network, customerCount, ratePerSecond, record, syncReplicaCount, hasSecondGroup)
     val fleet: HostFleet
     val admin = LaneAdminServer(network.nextSocketAddress(), installation = this)
 
@@ -88,6 +90,15 @@
         record.line("configuration ${platform.operator.config.revision} is acknowledged")
     }
 
+    /** Publishes the next configuration, in which [change] gives the routes, and returns it. */
+    fun changeRoutes(change: (List<OperatorConfig.Route>) -> List<OperatorConfig.Route>): OperatorConfig {
+        val next = platform.onLoop {
+            platform.operator.config.let { it.withRoutes(change(it.routes)) }.also(platform.operator::publish)
+        }
+        record.line("configuration ${next.revision} is acknowledged")
+        return next
+    }
+
     override fun close() {
         fleet.close()
         admin.close()
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LanePlatform.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LanePlatform.kt
@@ -25,9 +25,11 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * The stand-ins of the users' platform: its store, its promote call, its operator, and one database group.
+ * The stand-ins of the users' platform: its store, its promote call, its operator, and one or two database groups.
  *
  * All of them run on one event loop, which owns their state; other threads use [onLoop]. [close] ends them.
+ *
+ * @param hasSecondGroup whether there is a group that no route of the first configuration leads to
  */
 internal class LanePlatform(
     site: SitePlan,
@@ -35,7 +37,8 @@
     customerCount: Int,
     ratePerSecond: Int,
     private val record: RunRecord,
-    syncReplicaCount: Int = 0,
+    private val syncReplicaCount: Int = 0,
+    hasSecondGroup: Boolean = false,
 ) : AutoCloseable {
     private val loops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
@@ -46,35 +49,39 @@
     val store = RowStore()
     val storeFaults = StoreFaults()
     val promotionFaults = PromotionFaults()
-    val history = GroupHistory(record)
-    val group = TargetGroup(
-        GroupSettings(
-            name = GROUP_NAME,
-            maxConnections = site.maxConnections,
-            promoteMillis = site.promoteMillis,
-            lagMillis = site.lagMillis,
-            maxExtraMillis = MAX_EXTRA_MILLIS,
-            syncReplicaCount = syncReplicaCount,
-        ),
-        timers,
-        StoreRegistry(store, storeFaults),
-        history,
-    )
+    val history = GroupHistory(record, ::groupOf)
+    val group = newGroup(GROUP_NAME, site)
+    val secondGroup: TargetGroup? =
+        if (hasSecondGroup) newGroup(SECOND_GROUP_NAME, site, firstTransaction = SECOND_GROUP_TRANSACTION) else null
+    val groups: List<TargetGroup> = listOfNotNull(group, secondGroup)
     val operator = Operator(
         store,
         OperatorConfig.first(
             OperatorConfig.Group(GROUP_NAME, site.maxConnections, syncReplicaCount),
             customerCount = customerCount,
             ratePerSecond = ratePerSecond,
+            otherGroups = listOfNotNull(secondGroup).map {
+                OperatorConfig.Group(it.settings.name, site.maxConnections, syncReplicaCount)
+            },
         ),
+        record::nowMillis,
     )
+
+    /** The targets of [group]. */
     val targets: List<TargetServer> = site.targetZones.mapIndexed { index, zone ->
         TargetServer(group.add("target-${'a' + index}", zone), network.nextSocketAddress(), loops)
     }
+
+    /** The targets of [secondGroup]. */
+    val secondTargets: List<TargetServer> = secondGroup?.let { second ->
+        site.targetZones.mapIndexed { index, zone ->
+            TargetServer(second.add("second-${'a' + index}", zone), network.nextSocketAddress(), loops)
+        }
+    }.orEmpty()
     val storeServer = StoreServer(network.nextSocketAddress(), store, storeFaults, timers, loopResources)
     val promotionServer = PromotionServer(
         network.nextSocketAddress(),
-        listOf(group),
+        groups,
         promotionFaults,
         timers,
         loopResources,
@@ -89,9 +96,28 @@
     fun start() {
         storeServer.start()
         promotionServer.start()
-        onLoop { targets.forEach(TargetServer::start) }
+        onLoop { (targets + secondTargets).forEach(TargetServer::start) }
     }
 
+    private fun newGroup(name: String, site: SitePlan, firstTransaction: Int = 1) = TargetGroup(
+        GroupSettings(
+            name = name,
+            maxConnections = site.maxConnections,
+            promoteMillis = site.promoteMillis,
+            lagMillis = site.lagMillis,
+            maxExtraMillis = MAX_EXTRA_MILLIS,
+            syncReplicaCount = syncReplicaCount,
+        ),
+        timers,
+        StoreRegistry(store, storeFaults),
+        history,
+        firstTransaction = firstTransaction,
+    )
+
+    private fun groupOf(target: String): String = groups.firstOrNull {
+        it.find(target) != null
+    }?.settings?.name.orEmpty()
+
     /** Runs [action] on the loop, blocks until it has ended and returns its result. Must not be called on the loop. */
     fun <T> onLoop(action: () -> T): T = loops.next().submit(Callable(action)).get()
 
@@ -113,10 +139,12 @@
         loops.shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly()
     }
 
-    private companion object {
+    companion object {
         /** Without a difference, replicas would answer in the same order each time. */
-        const val MAX_EXTRA_MILLIS = 3L
+        private const val MAX_EXTRA_MILLIS = 3L
         const val GROUP_NAME = "archive"
-        const val STOP_TIMEOUT_MILLIS = 2_000L
+        const val SECOND_GROUP_NAME = "annex"
+        private const val SECOND_GROUP_TRANSACTION = 1_000_000_000
+        private const val STOP_TIMEOUT_MILLIS = 2_000L
     }
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/operator/OperatorConfig.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/operator/OperatorConfig.kt
@@ -67,6 +67,12 @@
         customers = customers.map { if (it.name == customer) it.copy(keys = keys) else it },
     )
 
+    /** Returns the route of [database], or null if there is none. */
+    fun route(database: String): Route? = routes.find { it.database == database }
+
+    /** Returns the next configuration, which has [routes]. */
+    fun withRoutes(routes: List<Route>): OperatorConfig = copy(revision = revision + REVISION_STEP, routes = routes)
+
     companion object {
         private const val REVISION_STEP = 3
         private const val FIRST_REVISION = 9L
@@ -82,8 +88,13 @@
         const val SESSION_DATABASE = "drafts"
         const val SESSION_MILLIS = 2_500L
 
-        /** Returns the first configuration: all routes to [group], and customers with two keys each. */
-        fun first(group: Group, customerCount: Int, ratePerSecond: Int): OperatorConfig = OperatorConfig(
+        /** Returns the first configuration: all routes to [group], none to [otherGroups], and customers with two keys each. */
+        fun first(
+            group: Group,
+            customerCount: Int,
+            ratePerSecond: Int,
+            otherGroups: List<Group> = emptyList(),
+        ): OperatorConfig = OperatorConfig(
             revision = FIRST_REVISION,
             routes = listOf(
                 Route("r-orders", CURRENT_DATABASE, PlatformWords.PRIMARY, group.name, 1_000, goalMillis = 200),
@@ -107,7 +118,7 @@
                     maxStaleMillis = SESSION_MILLIS,
                 ),
             ),
-            groups = listOf(group),
+            groups = listOf(group) + otherGroups,
             customers = List(customerCount) { Customer("club$it", listOf("key-a-$it", "key-b-$it"), ratePerSecond) },
         )
     }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/record/GroupHistory.kt
@@ -1,20 +1,22 @@
 package dev.cardamomlane.standin.lane.record
 
-import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.standin.lane.target.Commit
 import dev.cardamomlane.standin.lane.target.GroupListener
 import dev.cardamomlane.standin.lane.target.RunContent
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * What the targets of a database group did, for the checks of a run, and in its [record]. Safe for use by several threads.
+ * What the targets of the database groups did, for the checks of a run, and in its [record]. Safe for use by several threads.
+ *
+ * @param groupOf returns the name of the group whose log a target holds
  */
-internal class GroupHistory(private val record: RunRecord) : GroupListener {
+internal class GroupHistory(private val record: RunRecord, private val groupOf: (target: String) -> String = { "" }) :
+    GroupListener {
     private val begun = ConcurrentHashMap.newKeySet<String>()
     private val late = ConcurrentHashMap.newKeySet<String>()
     private val rolledBack = ConcurrentHashMap.newKeySet<String>()
     private val commitCounts = ConcurrentHashMap<String, Int>()
-    private val positions = ConcurrentHashMap<String, LogPosition>()
+    private val positions = ConcurrentHashMap<String, CommitPlace>()
     private val runsById = ConcurrentHashMap<String, List<StatementRun>>()
     private val readsById = ConcurrentHashMap<String, List<ReadRun>>()
 
@@ -28,7 +30,7 @@
     val repeatedCommits: Set<String> get() = commitCounts.filterValues { it > 1 }.keys
 
     /** Returns where the statement [statementId] was committed, or null if it was not. */
-    fun positionOf(statementId: String): LogPosition? = positions[statementId]
+    fun placeOf(statementId: String): CommitPlace? = positions[statementId]
 
     /** Returns the runs of the statement [statementId] that a target ended with success. */
     fun runsOf(statementId: String): List<StatementRun> = runsById[statementId].orEmpty()
@@ -55,12 +57,12 @@
     }
 
     override fun onRead(target: String, statementId: String, last: Commit?) {
-        val run = ReadRun(target, last?.position)
+        val run = ReadRun(target, groupOf(target), last?.position)
         readsById.merge(statementId, listOf(run)) { earlier, latest -> earlier + latest }
     }
 
     override fun onCommitted(target: String, commit: Commit, isLate: Boolean) {
-        positions[commit.statementId] = commit.position
+        positions[commit.statementId] = CommitPlace(groupOf(target), commit.position)
         commitCounts.merge(commit.statementId, 1, Int::plus)
         if (isLate) late += commit.statementId
         val note = if (isLate) ", although another target has been promoted" else ""
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/DisturbanceKind.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/DisturbanceKind.kt
@@ -27,5 +27,6 @@
     STUTTER(setOf(DisturbedPart.ANSWERS), isPlanned = false),
     HOT_CUSTOMER(setOf(DisturbedPart.CUSTOMERS), isPlanned = true),
     FOREIGN_ROWS(setOf(DisturbedPart.ROWS), isPlanned = true),
+    ROUTE_CHANGE(setOf(DisturbedPart.ROUTES, DisturbedPart.REPLICAS), isPlanned = true),
     KEY_WITHDRAWAL(setOf(DisturbedPart.KEYS), isPlanned = true),
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/DisturbedPart.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/DisturbedPart.kt
@@ -1,4 +1,4 @@
 package dev.cardamomlane.standin.lane.soak
 
 /** A part of an installation that disturbances meet. */
-internal enum class DisturbedPart { HOSTS, STORE, PROMOTION, ROWS, KEYS, REPLICAS, ANSWERS, CLOCKS, CUSTOMERS }
+internal enum class DisturbedPart { HOSTS, STORE, PROMOTION, ROWS, KEYS, ROUTES, REPLICAS, ANSWERS, CLOCKS, CUSTOMERS }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
@@ -19,6 +19,7 @@
  *
  * @param clocks of the hosts, or null if their time of day can't be moved
  * @param occupied shared by all disturbers of a soak
+ * @param drawn the kinds that are drawn, each as often as any other
  */
 internal class Disturber(
     private val installation: LaneInstallation,
@@ -26,10 +27,11 @@
     private val random: Random,
     private val clocks: ClockOffsets? = null,
     private val occupied: DisturbedParts = DisturbedParts(),
+    drawn: List<DisturbanceKind> = DisturbanceKind.entries,
 ) {
     private val platform = installation.platform
     private val record = installation.record
-    private val kinds = DisturbanceKind.entries.filter { it != DisturbanceKind.CLOCK_STEP || clocks != null }
+    private val kinds = drawn.filter { it != DisturbanceKind.CLOCK_STEP || clocks != null }
 
     /** Blocks until [isOver] says so and the last disturbance has ended. */
     fun run(isOver: () -> Boolean) {
@@ -73,6 +75,7 @@
             DisturbanceKind.STUTTER -> repeatAnswers()
             DisturbanceKind.HOT_CUSTOMER -> pressCustomer()
             DisturbanceKind.FOREIGN_ROWS -> writeForeignRow()
+            DisturbanceKind.ROUTE_CHANGE -> RouteChanger(installation, history, random).run()
             DisturbanceKind.KEY_WITHDRAWAL -> withdrawKey()
         }
         history.add(Disturbance(kind, subject, startMillis, record.nowMillis))
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCaller.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCaller.kt
@@ -14,6 +14,7 @@
  * A caller that stays with one host: it uses its session until the session ends, and connects again then.
  *
  * @param maxPauseMillis between two operations
+ * @param writesRarely whether it nearly always reads
  * @param key of the caller, which it keeps also when the key is withdrawn
  */
 internal class SoakCaller(
@@ -25,8 +26,9 @@
     private val history: SoakHistory,
     private val random: Random,
     private val maxPauseMillis: Long = MAX_PAUSE_MILLIS,
+    private val writesRarely: Boolean = false,
 ) {
-    private val route = CallerRoute.entries[number % CallerRoute.entries.size]
+    private val database = CallerRoute.entries[number % CallerRoute.entries.size].database
     private val record = installation.record
     private val texts = OddText(random, ODD_SHARE)
     private var sessionName = ""
@@ -40,7 +42,7 @@
         while (!isOver()) {
             try {
                 sessionName = "s$number-${record.nowMillis}"
-                installation.connect(sessionName, host, customer, route.database, key).use { open(it, isOver) }
+                installation.connect(sessionName, host, customer, database, key).use { open(it, isOver) }
             } catch (e: IOException) {
                 record.line("caller s$number: $e")
             }
@@ -57,11 +59,15 @@
     private fun serve(session: LoadSession, isOver: () -> Boolean) {
         while (session.isOpen && !isOver()) {
             session.begin()
+            val isReading = writesRarely && random.nextInt(RARE_WRITE_SHARE) > 0
             val isLeft = when (random.nextInt(OPERATION_KINDS)) {
                 0 -> start(isRead = true, action = session::read).isInTransaction
-                1 -> start(isCommit = true, action = session::write).isInTransaction
-                2 -> transact(session)
-                else -> readInTransaction(session)
+                1 -> readInTransaction(session)
+                2 -> if (isReading) readInTransaction(session) else transact(session)
+                else -> {
+                    val action = if (isReading) session::read else session::write
+                    start(isRead = isReading, isCommit = !isReading, action = action).isInTransaction
+                }
             }
             if (isLeft || (random.nextInt(CHANGE_SHARE) == 0 && !session.change())) return
             Thread.sleep(random.nextLong(maxPauseMillis))
@@ -73,22 +79,32 @@
         var answer = start { session.beginTransaction(isReadOnly = false) }
         var hasWritten = false
         repeat(random.nextInt(1, MAX_STATEMENTS)) {
-            if (!answer.isDone) return answer.isInTransaction
+            if (!answer.isDone) return leave(session, answer)
             Thread.sleep(random.nextLong(MAX_STATEMENT_PAUSE_MILLIS))
             val isWrite = random.nextBoolean()
             hasWritten = hasWritten || isWrite
             answer = next(isRead = !isWrite, action = if (isWrite) session::write else session::read)
         }
-        if (!answer.isDone) return answer.isInTransaction
+        if (!answer.isDone) return leave(session, answer)
         val isRolledBack = random.nextInt(ROLLBACK_SHARE) == 0
         val isCommit = !isRolledBack && hasWritten
         return next(isCommit = isCommit) { session.endTransaction(!isRolledBack) }.isInTransaction
     }
 
+    /** Ends a transaction in which [answer] was a failure, most times by a rollback. Returns whether it is left open. */
+    private fun leave(session: LoadSession, answer: CallerAnswer): Boolean {
+        if (!answer.isInTransaction || !session.isOpen ||
+            random.nextInt(LEAVE_SHARE) == 0
+        ) {
+            return answer.isInTransaction
+        }
+        return next { session.endTransaction(isCommit = false) }.isInTransaction
+    }
+
     private fun readInTransaction(session: LoadSession): Boolean {
         var answer = start { session.beginTransaction(isReadOnly = true) }
         repeat(random.nextInt(1, MAX_STATEMENTS)) {
-            if (!answer.isDone) return answer.isInTransaction
+            if (!answer.isDone) return leave(session, answer)
             Thread.sleep(random.nextLong(MAX_STATEMENT_PAUSE_MILLIS))
             answer = next(isRead = true, action = session::read)
         }
@@ -109,8 +125,21 @@
         val endedMillis = record.nowMillis
         if (operationId.isEmpty()) operationId = answer.statementId
         val hostName = installation.hosts[host].plan.name
-        history.add(SoakStatement(hostName, key, operationId, isCommit, sentMillis, endedMillis, answer))
-        if (isRead) history.add(route.read(answer.statementId, sessionName, operationMillis))
+        history.add(
+            SoakStatement(
+                host = hostName,
+                key = key,
+                session = sessionName,
+                database = database,
+                operationId = operationId,
+                operationMillis = operationMillis,
+                isRead = isRead,
+                isCommit = isCommit,
+                sentMillis = sentMillis,
+                endedMillis = endedMillis,
+                answer = answer,
+            ),
+        )
         if (isCommit && answer.isRunByTarget) {
             history.add(CallerCommit(answer.statementId, sessionName, endedMillis))
         }
@@ -120,9 +149,11 @@
     private companion object {
         const val ODD_SHARE = 0.2
         const val CHANGE_SHARE = 12
+        const val RARE_WRITE_SHARE = 12
         const val OPERATION_KINDS = 4
         const val MAX_STATEMENTS = 6
         const val ROLLBACK_SHARE = 6
+        const val LEAVE_SHARE = 5
         const val MAX_PAUSE_MILLIS = 150L
         const val MAX_STATEMENT_PAUSE_MILLIS = 400L
         const val RECONNECT_MILLIS = 200L
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.standin.lane.soak
 
+import dev.cardamomlane.standin.lane.operator.Operator
 import dev.cardamomlane.standin.lane.record.GroupHistory
 import dev.cardamomlane.standin.lane.record.StaleReads
 import dev.cardamomlane.standin.lane.record.StatementChecks
@@ -10,20 +11,29 @@
 /**
  * The rules that a soak checks after its end, when all is healed.
  *
- * @param log of the primary
+ * @param logs of the primaries of all groups
+ * @param published all configurations, in order
  * @param keysByCustomer the keys of each customer, of which each has the rate [ratePerSecond] and a burst of as much
  * @param isAcknowledgedByReplica whether a commit is acknowledged only once a replica has it
  */
 internal class SoakChecks(
     private val history: SoakHistory,
     private val group: GroupHistory,
-    private val log: TargetLog,
+    private val logs: List<TargetLog>,
+    published: List<Operator.Publication>,
     private val keysByCustomer: Map<String, List<String>> = emptyMap(),
     private val ratePerSecond: Int = 0,
     private val isAcknowledgedByReplica: Boolean = false,
 ) {
     private val statements = history.statements()
     private val disturbances = history.disturbances()
+    private val routes = RouteChecks(
+        statements,
+        group,
+        StaleReads(history.commits(), group),
+        RouteHistory(published, history.effects(), disturbances),
+        ::isCalm,
+    )
     private val violations = StatementChecks(group, history.sent::statements).violations()
 
     /** Returns a line for each broken rule, with the statements that broke it. */
@@ -31,9 +41,17 @@
         finding("acknowledged writes are lost", lostWrites()),
         finding("acknowledged writes were committed at an old primary after a promotion", lateWrites()),
         finding("writes were committed though their callers were told that they were not run", refusedWrites()),
-        finding("writes stand twice in the log", group.repeatedCommits.filter { log.count(it) > 1 }),
+        finding(
+            "writes stand twice in the log",
+            group.repeatedCommits.filter { id ->
+                logs.sumOf { it.count(id) } > 1
+            },
+        ),
         finding("unknown keys were admitted", history.sent.admittedKeys()),
-        finding("reads were too old", StaleReads(history.commits(), group).find(history.reads())),
+        finding("reads were too old", routes.tooOld()),
+        finding("reads ran at a group to which no route led", routes.foreignRuns()),
+        finding("databases with a route were called unknown", routes.wronglyUnknown()),
+        finding("sessions are not served since their database moved", routes.unservedSessions()),
         finding("answers are not those of a target", (mixedAnswers() + broken(Rule.MIXED)).distinct()),
         finding("statements ran otherwise than sent", broken(Rule.UNASKED)),
         finding("statements ran with other values, or outside their own transaction", broken(Rule.PINNED)),
@@ -43,6 +61,9 @@
         finding("hosts do not serve after the last disturbance", idleHosts()),
     ).filterNotNull()
 
+    /** How the reads of sessions whose route had changed ended. */
+    fun routeSummary(): String = routes.summary()
+
     private fun broken(rule: Rule): List<String> =
         violations.filter { it.rule == rule }.map(Violation::statementId).distinct()
 
@@ -54,10 +75,12 @@
 
     /** What a promotion rolled back is excused where replicas receive commits after they are acknowledged. */
     private fun lostWrites(): List<String> {
-        val kept = log.statementIds()
+        val kept = keptStatements()
         return acknowledged.filter { it !in kept && (isAcknowledgedByReplica || it !in group.rolledBackCommits) }
     }
 
+    private fun keptStatements(): Set<String> = logs.flatMapTo(HashSet(), TargetLog::statementIds)
+
     /** A commit that a host may have sent before it was paused is excused. */
     private fun lateWrites(): List<String> {
         val late = group.lateCommits
@@ -99,7 +122,7 @@
     }
 
     private fun refusedWrites(): List<String> {
-        val kept = log.statementIds()
+        val kept = keptStatements()
         val refused = statements.filter { it.isCommit && it.answer.code in StatementChecks.NOT_RUN_CODES }
             .map { it.answer.statementId }
         return (refused + broken(Rule.REFUSED)).distinct().filter { it in kept }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
@@ -56,6 +56,14 @@
     )
     private var hasClocks = false
 
+    @Option(
+        names = ["--kinds"],
+        split = ",",
+        paramLabel = "KIND",
+        description = ["draws only these kinds of disturbances: \${COMPLETION-CANDIDATES}"],
+    )
+    private var kinds: List<DisturbanceKind> = DisturbanceKind.entries
+
     @Option(names = ["--dir"], required = true, paramLabel = "DIR", description = ["for settings, logs and the record"])
     private lateinit var directory: Path
 
@@ -73,6 +81,7 @@
             record,
             hostVariables = hostVariables,
             syncReplicaCount = syncReplicaCount,
+            hasSecondGroup = true,
         )
         Runtime.getRuntime().addShutdownHook(Thread(installation::close))
         val verdict = if (installation.start()) run(installation) else Verdict.NotRun("the hosts are not ready")
@@ -87,6 +96,7 @@
         val keyTrouble = KeyTrouble(installation, history.sent).apply { begin() }
         val keys = installation.customers.indices.map(keyTrouble::keyOf)
         beginOddRows(installation)
+        lengthenFirstLog(installation)
         val hostNames = installation.hosts.map { it.plan.name }
         val clocks = if (hasClocks) ClockOffsets(installation.directory, hostNames) else null
         val endMillis = record.nowMillis + TimeUnit.SECONDS.toMillis(seconds)
@@ -95,8 +105,16 @@
             val callers = List(hostCount * CALLERS_PER_HOST) { number ->
                 val customer = number % keys.size
                 val random = Random(seed * SEED_STEP + number)
-                val caller =
-                    SoakCaller(installation, number, number % hostCount, customer, keys[customer], history, random)
+                val caller = SoakCaller(
+                    installation,
+                    number,
+                    number / CALLERS_PER_HOST,
+                    customer,
+                    keys[customer],
+                    history,
+                    random,
+                    writesRarely = number % 2 == 1,
+                )
                 tasks.start { caller.run(areCallersOver::get) }
             }
             val probe = tasks.start { keyTrouble.probe(areCallersOver::get) }
@@ -104,7 +122,7 @@
             val occupied = DisturbedParts()
             val disturbers = List(DISTURBERS) { number ->
                 val random = Random(seed * SEED_STEP - 1 - number)
-                val disturber = Disturber(installation, history, random, clocks, occupied)
+                val disturber = Disturber(installation, history, random, clocks, occupied, kinds)
                 tasks.start { disturber.run { record.nowMillis > endMillis } }
             }
             awaitAll(disturbers)
@@ -120,7 +138,13 @@
         val random = Random(seed)
         val platform = installation.platform
         val rows = OddRows(random, OddText(random, ODD_SHARE))
-        platform.onLoop { platform.group.answerFaults.rowsOf = rows::of }
+        platform.onLoop { platform.groups.forEach { it.answerFaults.rowsOf = rows::of } }
+    }
+
+    /** Positions in the first group's log are then beyond the end of the second one's, to which routes are moved. */
+    private fun lengthenFirstLog(installation: LaneInstallation) = installation.platform.onLoop {
+        val primary = checkNotNull(installation.platform.group.primary())
+        repeat(FIRST_COMMITS) { primary.commit("first-$it", emptyMap()) {} }
     }
 
     private fun awaitAll(tasks: List<Future<*>>) = tasks.forEach {
@@ -129,26 +153,28 @@
 
     private fun check(installation: LaneInstallation, history: SoakHistory): Verdict {
         val platform = installation.platform
-        val findings = platform.onLoop {
-            platform.group.primary()?.let { checks(installation, history, it).findings() }
-        } ?: return Verdict.NotRun("no target leads at the end")
+        val primaries = platform.onLoop { platform.groups.mapNotNull { it.primary() } }
+        if (primaries.size < platform.groups.size) return Verdict.NotRun("no target leads a group at the end")
+        val checks = platform.onLoop { checks(installation, history, primaries) }
+        val findings = platform.onLoop(checks::findings)
         val statements = history.statements()
         val doneCount = statements.count { it.answer.isDone }
         if (doneCount == 0) return Verdict.NotRun("no statement succeeded")
         val kinds = history.disturbances().groupingBy { it.kind }.eachCount()
         val summary = "$doneCount of ${statements.size} statements done, ${history.commits().size} commits " +
-            "acknowledged, ${history.reads().count {
-                platform.history.readsOf(it.statementId).isNotEmpty()
-            }} reads run, " +
+            "acknowledged, " +
+            "${statements.count { platform.history.readsOf(it.answer.statementId).isNotEmpty() }} reads run, " +
+            "${checks.routeSummary()}, " +
             "${kinds.values.sum()} disturbances $kinds, " +
             "answers sent again ${platform.group.answerFaults.repeats}, errors made ${platform.group.answerFaults.errors}"
         return Verdict.of(findings.isNotEmpty(), (findings + summary).joinToString("; "))
     }
 
-    private fun checks(installation: LaneInstallation, history: SoakHistory, primary: LaneTarget) = SoakChecks(
+    private fun checks(installation: LaneInstallation, history: SoakHistory, primaries: List<LaneTarget>) = SoakChecks(
         history,
         installation.platform.history,
-        primary.log,
+        primaries.map(LaneTarget::log),
+        installation.platform.operator.published,
         installation.customers.associate { it.name to it.keys },
         installation.customers.first().ratePerSecond,
         isAcknowledgedByReplica = syncReplicaCount > 0,
@@ -159,6 +185,7 @@
         const val DISTURBERS = 3
         const val SEED_STEP = 1_000L
         const val ODD_SHARE = 0.2
+        const val FIRST_COMMITS = 1_000
 
         /** How long callers go on once the hosts had time to recover, and replicas settle after that. */
         const val CALM_MILLIS = 3_000L
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakHistory.kt
@@ -2,7 +2,6 @@
 
 import dev.cardamomlane.standin.lane.load.LoadHistory
 import dev.cardamomlane.standin.lane.record.CallerCommit
-import dev.cardamomlane.standin.lane.record.CallerRead
 import java.util.concurrent.ConcurrentLinkedQueue
 
 /** What callers sent and got in a soak, and what disturbed it. Safe for use by several threads. */
@@ -11,7 +10,7 @@
     val sent = LoadHistory()
     private val statements = ConcurrentLinkedQueue<SoakStatement>()
     private val acknowledged = ConcurrentLinkedQueue<CallerCommit>()
-    private val sentReads = ConcurrentLinkedQueue<CallerRead>()
+    private val seenEffects = ConcurrentLinkedQueue<RouteEffect>()
     private val ended = ConcurrentLinkedQueue<Disturbance>()
 
     fun add(statement: SoakStatement) {
@@ -22,8 +21,8 @@
         acknowledged += commit
     }
 
-    fun add(read: CallerRead) {
-        sentReads += read
+    fun add(effect: RouteEffect) {
+        seenEffects += effect
     }
 
     fun add(disturbance: Disturbance) {
@@ -34,7 +33,7 @@
 
     fun commits(): List<CallerCommit> = acknowledged.toList()
 
-    fun reads(): List<CallerRead> = sentReads.toList()
+    fun effects(): List<RouteEffect> = seenEffects.toList()
 
     fun disturbances(): List<Disturbance> = ended.toList()
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakStatement.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakStatement.kt
@@ -7,13 +7,21 @@
  *
  * @property host where it was sent
  * @property key of the caller
+ * @property session of the caller, from connecting until the connection ends
+ * @property database that the session was opened for
  * @property operationId the statement with which the operation began: this one, or the begin of its transaction
+ * @property operationMillis when that statement was sent
+ * @property isRead whether it asks for data
  * @property isCommit whether its success acknowledges a write
  */
 internal data class SoakStatement(
     val host: String,
     val key: String,
+    val session: String,
+    val database: String,
     val operationId: String,
+    val operationMillis: Long,
+    val isRead: Boolean,
     val isCommit: Boolean,
     val sentMillis: Long,
     val endedMillis: Long,
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetGroup.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetGroup.kt
@@ -7,6 +7,8 @@
  * One database group: a primary, and replicas that receive its log.
  *
  * Only a promotion replaces a primary. The first target that is added leads term 1. Not safe for use by several threads.
+ *
+ * @param firstTransaction the number of its first transaction; groups of one run have ranges of their own
  */
 internal class TargetGroup(
     val settings: GroupSettings,
@@ -14,13 +16,14 @@
     val registry: TargetRegistry,
     val listener: GroupListener,
     private val random: Random = Random.Default,
+    firstTransaction: Int = 1,
 ) {
     private val members = ArrayList<LaneTarget>()
 
     /** How many connections were opened to all targets. */
     var connectionCount = 0
         private set
-    private var transactionCount = 0
+    private var nextTransaction = firstTransaction
 
     /** How all targets of the group deviate from a single answer to each statement. */
     val answerFaults = AnswerFaults(random)
@@ -35,7 +38,7 @@
 
     fun nextConnection(): Int = ++connectionCount
 
-    fun nextTransaction(): Int = ++transactionCount
+    fun nextTransaction(): Int = nextTransaction++
 
     /** How much longer the next use of a slot takes. */
     fun nextExtraMillis(): Long = random.nextLong(settings.maxExtraMillis + 1)
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/wire/PlatformWords.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/wire/PlatformWords.kt
@@ -71,5 +71,6 @@
     const val MALFORMED = "MALFORMED"
     const val ABORTED = "ABORTED"
     const val FAILED = "FAILED"
+    const val UNKNOWN_DATABASE = "NODB"
     const val NO_ACCESS = "NOAUTH"
 }
--- a/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
@@ -1,7 +1,8 @@
 package dev.cardamomlane.standin.lane.soak
 
 import dev.cardamomlane.standin.lane.caller.CallerAnswer
-import dev.cardamomlane.standin.lane.caller.CallerRoute
+import dev.cardamomlane.standin.lane.operator.Operator
+import dev.cardamomlane.standin.lane.operator.OperatorConfig
 import dev.cardamomlane.standin.lane.record.CallerCommit
 import dev.cardamomlane.standin.lane.record.SentStatement
 import dev.cardamomlane.standin.lane.target.GroupFixture
@@ -26,7 +27,8 @@
     private fun checks(isAcknowledgedByReplica: Boolean = false) = SoakChecks(
         history,
         fixture.history,
-        checkNotNull(fixture.group.primary()).log,
+        listOf(checkNotNull(fixture.group.primary()).log),
+        listOf(Operator.Publication(OperatorConfig.first(OperatorConfig.Group("archive", 34), 1, 83), atMillis = 0)),
         mapOf("club" to listOf("key")),
         ratePerSecond = 83,
         isAcknowledgedByReplica,
@@ -39,7 +41,7 @@
 
     private fun read(id: String, sentMillis: Long) {
         fixture.history.onRun("a", id, "a.1")
-        answered(CallerAnswer(id, null, digest = "a.1"), sentMillis, isCommit = false)
+        answered(CallerAnswer(id, null, digest = "a.1"), sentMillis, isCommit = false, isRead = true)
     }
 
     private fun answered(
@@ -48,9 +50,24 @@
         endedMillis: Long = sentMillis + 10,
         isCommit: Boolean = true,
         text: String = "",
+        isRead: Boolean = false,
     ) {
         history.sent.add(SentStatement(answer.statementId, text, answer.statementId, answer = answer))
-        history.add(SoakStatement("h", "key", answer.statementId, isCommit, sentMillis, endedMillis, answer))
+        history.add(
+            SoakStatement(
+                host = "h",
+                key = "key",
+                session = "reader",
+                database = OperatorConfig.BOUNDED_DATABASE,
+                operationId = answer.statementId,
+                operationMillis = sentMillis,
+                isRead = isRead,
+                isCommit = isCommit,
+                sentMillis = sentMillis,
+                endedMillis = endedMillis,
+                answer = answer,
+            ),
+        )
     }
 
     private fun done(id: String, sentMillis: Long = 0) {
@@ -115,7 +132,6 @@
         history.add(CallerCommit("w", "writer", acknowledgedMillis = 100))
         read("r", sentMillis = 2_000)
         fixture.history.onRead("b", "r", fixture.b.lastApplied)
-        history.add(CallerRoute.BOUNDED.read("r", "reader", sentMillis = 2_000))
         assertContains(finding(), "1 reads were too old: [r of reader")
     }
 
