--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/DatabaseId.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/DatabaseId.kt
@@ -1,6 +1,9 @@
 package dev.cardamomlane.core
 
+import kotlinx.serialization.Serializable
+
 /** The name of one database group, as callers give it when they connect. */
+@Serializable
 @JvmInline
 public value class DatabaseId(public val value: String) : Comparable<DatabaseId> {
     init {
--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/LogPosition.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/LogPosition.kt
@@ -33,6 +33,9 @@
         /** The position before the first record. */
         public val START: LogPosition = LogPosition(term = 0, offset = 0)
 
+        /** After every record. Stands for a position that is not known, so that no log reaches it. */
+        public val END: LogPosition = LogPosition(term = Long.MAX_VALUE, offset = Long.MAX_VALUE)
+
         /** Parses what [toString] returned, or returns null if [text] is not a position. */
         public fun parse(text: String): LogPosition? {
             val parts = text.split(':')
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.forward
 
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.engine.session.CallerLink
 import dev.cardamomlane.engine.session.CallerSession
 import dev.cardamomlane.engine.session.SessionServices
@@ -37,6 +38,11 @@
     override fun open(link: CallerLink, database: String, key: String?): CallerSession? =
         if (isLeaving || !mayServe()) null else CallerSession(services, link, database, key, isForwarded = true)
 
+    override fun lastCommit(start: OperationStart): LogCommit? {
+        val group = services.configuration.routes[start.database]?.group ?: return null
+        return start.lastCommit?.let { LogCommit(group, it) }
+    }
+
     override fun hint(start: OperationStart): SendHint? {
         val customer = services.configuration.customersByKey[start.key] ?: return null
         val route = services.configuration.routes[start.database] ?: return null
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedSessions.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedSessions.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.forward
 
+import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.engine.session.CallerLink
 import dev.cardamomlane.engine.session.CallerSession
 
@@ -8,6 +9,9 @@
     /** The newest configuration that this host knows. */
     val configurationVersion: Long
 
+    /** The own commit that [start] names, for hosts of earlier builds, or null when it names none. */
+    fun lastCommit(start: OperationStart): LogCommit?
+
     /** The hint for other operations like the one that [start] began, or null when all of them are to be sent. */
     fun hint(start: OperationStart): SendHint?
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.TimerService
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.engine.fleet.GroupRecords
 import dev.cardamomlane.engine.fleet.Member
 import dev.cardamomlane.engine.log.DecisionLog
@@ -48,12 +49,16 @@
         return operation
     }
 
-    /** Sends a step of an operation. When the connection has ended, the operation's listener is told so at once. */
-    fun send(request: OperationRequest, refusedByHintCount: Int = 0) {
+    /**
+     * Sends a step of an operation. When the connection has ended, the operation's listener is told so at once.
+     *
+     * @param commits with the first step, the own commits of the session that the operation is from
+     */
+    fun send(request: OperationRequest, commits: List<LogCommit> = emptyList(), refusedByHintCount: Int = 0) {
         val waiting = operations[request.operation] ?: return
         if (isClosed) return end(request.operation, waiting)
         waiting.sentAtMillis = timers.nowMillis()
-        link.send(HostMessage(request = request, refusedByHintCount = refusedByHintCount))
+        link.send(HostMessage(request = request, refusedByHintCount = refusedByHintCount, commits = commits))
         if (watch == null) watch = timers.after(WATCH_INTERVAL_MILLIS) { watch() }
     }
 
@@ -73,24 +78,24 @@
         pingedAtMillis = null
         isSilent = false
         if (message.isLeaving) events.onLeaving(this)
-        message.part?.let { onPart(it, message.hint) }
-        message.answer?.let { onAnswer(it, message.hint) }
+        message.part?.let { onPart(it, message) }
+        message.answer?.let { onAnswer(it, message) }
     }
 
-    private fun onPart(part: AnswerPart, hint: SendHint?) {
+    private fun onPart(part: AnswerPart, message: HostMessage) {
         val rows = operations[part.operation]?.rows ?: return
         rows += part.rows
         val answer = part.answer ?: return
         val whole = answer.copy(rows = rows.toList())
         rows.clear()
-        onAnswer(whole, hint)
+        onAnswer(whole, message)
     }
 
-    private fun onAnswer(answer: OperationAnswer, hint: SendHint?) {
+    private fun onAnswer(answer: OperationAnswer, message: HostMessage) {
         val waiting = operations[answer.operation] ?: return
         waiting.sentAtMillis = null
-        waiting.listener.onHint(hint)
-        waiting.listener.onAnswer(answer)
+        waiting.listener.onHint(message.hint)
+        waiting.listener.onAnswer(answer, message.committed)
     }
 
     override fun onClosed() {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.forward
 
+import dev.cardamomlane.core.session.LogCommit
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
@@ -13,6 +14,8 @@
  *   priority the sender has refused by a hint since the last one
  * @property hint with an [answer] or its last [part], how many operations of the same customer and priority to send; null for all
  * @property part a part of an answer that is too long for one message
+ * @property commits with a [request] that starts an operation, the own commits of the session that it is from, one a log
+ * @property committed with an [answer] or its last [part], the commit of writes that it acknowledges
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -25,4 +28,6 @@
     @CborLabel(6) val refusedByHintCount: Int = 0,
     @CborLabel(7) val hint: SendHint? = null,
     @CborLabel(8) val part: AnswerPart? = null,
+    @CborLabel(9) val commits: List<LogCommit> = emptyList(),
+    @CborLabel(10) val committed: LogCommit? = null,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.forward
 
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.engine.session.CallerLink
 import dev.cardamomlane.engine.session.CallerSession
 import dev.cardamomlane.engine.statement.Access
@@ -16,10 +17,13 @@
  *
  * It waits for a configuration that is at least as new as the one the other host has used, so that the caller is never
  * served by an older configuration after a newer one.
+ *
+ * @param commits the own commits of the session that the operation is from
  */
 internal class IncomingOperation(
     private val number: Long,
     private val start: OperationStart,
+    private val commits: List<LogCommit>,
     private val link: HostLink,
     private val timers: TimerService,
     private val sessions: ForwardedSessions,
@@ -54,7 +58,8 @@
         val opened = sessions.open(this, start.database, start.key)
             ?: return end(ErrorCode.UNAVAILABLE, "the serving host takes no operations, not run")
         session = opened
-        opened.adopt(waitingStep?.values ?: emptyMap(), start.lastCommit)
+        opened.adopt(waitingStep?.values ?: emptyMap())
+        opened.adopt(commits.ifEmpty { listOfNotNull(sessions.lastCommit(start)) })
         if (start.transaction != TransactionKind.NONE) {
             isBeginning = true
             opened.onStatement(waitingStep?.id ?: "-", Statement.Begin(start.transaction == TransactionKind.READ_ONLY))
@@ -124,8 +129,15 @@
         )
         val hint = sessions.hint(start)
         val parts = AnswerPart.of(message)
-        if (parts.isEmpty()) return link.send(HostMessage(answer = message, hint = hint))
-        for (part in parts) link.send(HostMessage(part = part, hint = hint.takeIf { part.answer != null }))
+        if (parts.isEmpty()) {
+            return link.send(HostMessage(answer = message, hint = hint, committed = answer.committed))
+        }
+        for (part in parts) {
+            val isLast = part.answer != null
+            link.send(
+                HostMessage(part = part, hint = hint.takeIf { isLast }, committed = answer.committed.takeIf { isLast }),
+            )
+        }
     }
 
     private fun end(code: ErrorCode, text: String) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.forward
 
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.session.LogCommit
 
 /**
  * The operations that another host forwards to this one over one connection. Each runs in a session of its own.
@@ -25,7 +26,7 @@
             if (start != null && message.refusedByHintCount > 0) {
                 sessions.onRefusedByHint(start, message.refusedByHintCount)
             }
-            onRequest(request)
+            onRequest(request, message.commits)
         }
     }
 
@@ -41,13 +42,13 @@
         link.send(HostMessage(isLeaving = true))
     }
 
-    private fun onRequest(request: OperationRequest) {
+    private fun onRequest(request: OperationRequest, commits: List<LogCommit>) {
         val known = operations[request.operation]
         val start = request.start
         when {
             request.kind == StepKind.ROLLBACK -> operations.remove(request.operation)?.abandon()
             known != null -> known.onStep(request)
-            start != null -> IncomingOperation(request.operation, start, link, timers, sessions) { ended ->
+            start != null -> IncomingOperation(request.operation, start, commits, link, timers, sessions) { ended ->
                 operations.remove(ended)
             }.also { operations[request.operation] = it }.onStep(request)
             else -> IncomingOperation.answerAborted(link, request, sessions.configurationVersion)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationListener.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationListener.kt
@@ -1,12 +1,14 @@
 package dev.cardamomlane.engine.forward
 
+import dev.cardamomlane.core.session.LogCommit
+
 /** Receives the answers to the steps of one forwarded operation. */
 internal interface OperationListener {
     /** Called before [onAnswer] with the hint that came with the answer, or null when there was none. */
     fun onHint(hint: SendHint?)
 
-    /** The last step got its answer. */
-    fun onAnswer(answer: OperationAnswer)
+    /** The last step got its answer, which acknowledges [committed] if the member says so. */
+    fun onAnswer(answer: OperationAnswer, committed: LogCommit?)
 
     /** The member answers nothing at the moment, not even a ping. The answer may still come. */
     fun onSilent()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationStart.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/OperationStart.kt
@@ -10,7 +10,8 @@
  *
  * @property key the caller's key, or null when it presented none
  * @property transaction whether the operation is a transaction, and of which kind
- * @property lastCommit the log position of the session's last commit, or null when there is none
+ * @property lastCommit for members of earlier builds, which don't read [HostMessage.commits]: the position of the session's
+ *   last commit in the log of the group that serves [database], or null when there is none
  * @property configurationVersion the newest configuration that the sender used; an older one must not decide
  */
 @OptIn(ExperimentalSerializationApi::class)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -4,6 +4,7 @@
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.session.SessionPositions
 import dev.cardamomlane.engine.config.Consistency
 import dev.cardamomlane.engine.fleet.GroupRecords
 import dev.cardamomlane.engine.log.DecisionLog
@@ -270,9 +271,9 @@
     private fun placement(work: Work): Placement {
         if (work.needsPrimary || work.route.consistency == Consistency.LATEST) return Placement.Primary
         val sinceMillis = work.arrivedAtMillis - work.route.maxStaleMillis + STALE_MARGIN_MILLIS
-        val ownCommit = work.ownPosition?.takeIf { work.route.consistency == Consistency.SESSION }
-        val position = positions.required(sinceMillis, ownCommit) ?: return Placement.Primary
-        return Placement.AnyAtPosition(position)
+        val seen = if (work.route.consistency == Consistency.SESSION) work.positions else SessionPositions.NONE
+        val position = seen.required(id, positions.covering(sinceMillis), positions.newest?.position)
+        return position?.let(Placement::AnyAtPosition) ?: Placement.Primary
     }
 
     override fun onCapacity(target: Target) {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/PrimaryPositions.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/PrimaryPositions.kt
@@ -4,8 +4,7 @@
 import dev.cardamomlane.core.TargetId
 
 /**
- * The recent log positions of one group's primary, and what a read requires of a replica. Positions of another primary
- * than the last one replace all others.
+ * The recent log positions of one group's primary. Positions of another primary than the last one replace all others.
  *
  * Not safe for use by several threads.
  */
@@ -33,22 +32,6 @@
     /** How long ago the primary was first seen beyond [position], in milliseconds, or 0 when it was not. */
     fun lagMillis(position: LogPosition, nowMillis: Long): Long = history.lagMillis(position, nowMillis)
 
-    /**
-     * The position that a target must have applied to show every write acknowledged before [sinceMillis], and
-     * [ownCommit] if given; null when no position is known that suffices.
-     */
-    fun required(sinceMillis: Long, ownCommit: LogPosition?): LogPosition? {
-        val covering = history.covering(sinceMillis) ?: return null
-        val own = ownCommit?.let { inCurrentTerm(it) ?: return null }
-        return if (own != null && own > covering) own else covering
-    }
-
-    /**
-     * Replaces a position of an earlier term by the newest known one, since a takeover may have discarded part of the
-     * old log. Returns null when none is known.
-     */
-    private fun inCurrentTerm(position: LogPosition): LogPosition? {
-        val newest = history.newest?.position ?: return null
-        return if (position.term < newest.term) newest else position
-    }
+    /** The lowest known position that includes every write acknowledged before [millis], or null. */
+    fun covering(millis: Long): LogPosition? = history.covering(millis)
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/Work.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/Work.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.capacity.WorkKind
+import dev.cardamomlane.core.session.SessionPositions
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.fleet.GroupRecords
 import dev.cardamomlane.engine.session.SessionState
@@ -16,8 +17,8 @@
  *
  * @property id the caller's id of the statement, for logs
  * @property needsPrimary true when only the primary may run it
- * @property ownPosition the log position of the session's last commit, which a read must see with
- *   [SESSION][dev.cardamomlane.engine.config.Consistency.SESSION] consistency; null when there is none
+ * @property positions the session's own commits, which a read must see with
+ *   [SESSION][dev.cardamomlane.engine.config.Consistency.SESSION] consistency
  * @property arrivedAtMillis when the operation's first statement arrived; the age that a read accepts counts from here
  * @property queuedAtMillis when this statement was first queued
  */
@@ -27,7 +28,7 @@
     public val customerName: String,
     public val state: SessionState,
     public val needsPrimary: Boolean,
-    public val ownPosition: LogPosition?,
+    public val positions: SessionPositions,
     public val arrivedAtMillis: Long,
     public val queuedAtMillis: Long,
     private val runner: WorkRunner,
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/Acknowledgement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/Acknowledgement.kt
@@ -25,7 +25,7 @@
     fun start() {
         val waitedMillis = services.timers.nowMillis() - startedAtMillis
         when {
-            group.writes.mayAcknowledge(target) -> done(Outcome.of(answer))
+            group.writes.mayAcknowledge(target) -> done(Outcome.committed(answer, group.id))
             group.writes.isReplaced(target) || waitedMillis >= MAX_WAIT_MILLIS ->
                 done(Outcome.error(ErrorCode.OUTCOME_UNKNOWN, "the primary may have been replaced"))
             else -> services.timers.after(POLL_INTERVAL_MILLIS) { start() }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -1,8 +1,8 @@
 package dev.cardamomlane.engine.session
 
-import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.session.LogCommit
+import dev.cardamomlane.core.session.SessionPositions
 import dev.cardamomlane.engine.config.Route
-import dev.cardamomlane.engine.statement.Access
 import dev.cardamomlane.engine.statement.CallerAnswer
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.PreparedPlan
@@ -36,7 +36,7 @@
     private var current: IncomingStatement? = null
     private var transaction: SessionTransaction? = null
     private var runningStatement: RunningStatement? = null
-    private var lastCommit: LogPosition? = null
+    private var positions = SessionPositions.NONE
     private var isClosed = false
     private var isClosing = false
 
@@ -60,10 +60,12 @@
         link.refuse(error)
     }
 
-    /** Takes over the session values, and the position of the last commit, of the session that an operation is from. */
-    internal fun adopt(newValues: Map<String, String>, commit: LogPosition? = lastCommit) {
-        state.adopt(newValues)
-        lastCommit = commit
+    /** Takes over the session values of the session that an operation is from. */
+    internal fun adopt(newValues: Map<String, String>): Unit = state.adopt(newValues)
+
+    /** Takes over the own [commits] of the session that an operation is from. */
+    internal fun adopt(commits: List<LogCommit>) {
+        positions = SessionPositions.of(commits)
     }
 
     /** Refuses the session with [ErrorCode.BUSY] and [text]. */
@@ -225,28 +227,19 @@
             stateFor(statement),
             onStarted = { runningStatement = it },
             onRefused = { refuse(incoming, it) },
-            done = { route, outcome -> onStatementOutcome(incoming, statement, route, outcome) },
+            done = { route, outcome ->
+                runningStatement = null
+                answer(incoming, outcome, route)
+            },
         )
     }
 
     private fun context(incoming: IncomingStatement) =
-        OperationContext(incoming.id, incoming.arrivedAtMillis, lastCommit, isWanted = { !isClosed })
-
-    private fun onStatementOutcome(
-        incoming: IncomingStatement,
-        statement: ResolvedStatement,
-        route: Route,
-        outcome: Outcome,
-    ) {
-        runningStatement = null
-        if (statement.access == Access.WRITE && outcome.error == null) recordCommit(outcome.position)
-        answer(incoming, outcome, route)
-    }
+        OperationContext(incoming.id, incoming.arrivedAtMillis, positions, isWanted = { !isClosed })
 
     private fun commit(incoming: IncomingStatement, open: SessionTransaction) {
         open.commit(incoming.id, SessionState(state.values, emptyList())) { outcome ->
             transaction = null
-            if (outcome.error == null) recordCommit(outcome.position)
             answer(incoming, outcome, open.route)
         }
     }
@@ -257,10 +250,6 @@
         succeed(incoming)
     }
 
-    private fun recordCommit(position: LogPosition?) {
-        if (position != null) lastCommit = position
-    }
-
     private fun stateFor(statement: ResolvedStatement) = SessionState(state.values, listOfNotNull(statement.plan))
 
     /** Answers an operation that was not started; closes the session when the configuration does not allow it. */
@@ -282,6 +271,7 @@
     }
 
     private fun answer(incoming: IncomingStatement, outcome: Outcome, route: Route) {
+        outcome.committed?.let { positions = positions.after(it) }
         val tookMillis = services.timers.nowMillis() - incoming.arrivedAtMillis
         services.count(route.name, outcome.error?.code?.name ?: "OK", tookMillis)
         if (outcome.error != null) {
@@ -298,6 +288,7 @@
                 error = outcome.error,
                 state = transactionState(),
                 position = outcome.position,
+                committed = outcome.committed,
             ),
         )
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationContext.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationContext.kt
@@ -1,18 +1,18 @@
 package dev.cardamomlane.engine.session
 
-import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.session.SessionPositions
 
 /**
  * What an operation takes from its session when it starts.
  *
  * @property id the caller's id of the first statement
  * @property arrivedAtMillis when the first statement arrived
- * @property lastCommit the position of the session's last commit, or null when there is none
+ * @property positions the session's own commits
  * @property isWanted false once the caller has left
  */
 internal class OperationContext(
     val id: String,
     val arrivedAtMillis: Long,
-    val lastCommit: LogPosition?,
+    val positions: SessionPositions,
     val isWanted: () -> Boolean,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
@@ -43,7 +43,7 @@
                         route,
                         isReadOnly,
                         nameOf(customer),
-                        context.lastCommit,
+                        context.positions,
                         context.arrivedAtMillis,
                     ),
                 )
@@ -91,7 +91,7 @@
         customerName = nameOf(customer),
         state = state,
         needsPrimary = statement.access == Access.WRITE,
-        ownPosition = context.lastCommit,
+        positions = context.positions,
         arrivedAtMillis = context.arrivedAtMillis,
         queuedAtMillis = services.timers.nowMillis(),
         runner = execution,
@@ -131,7 +131,7 @@
     }
 
     private fun remoteCall(context: OperationContext, route: Route, customer: Customer?) =
-        RemoteCall(services, route, database, key, nameOf(customer), context.lastCommit)
+        RemoteCall(services, route, database, key, nameOf(customer), context.positions)
 
     private fun nameOf(customer: Customer?): String = customer?.id?.value ?: CallerSession.ANONYMOUS_CUSTOMER
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
@@ -1,6 +1,8 @@
 package dev.cardamomlane.engine.session
 
 import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.session.LogCommit
+import dev.cardamomlane.core.session.SessionPositions
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.forward.Forwarder
 import dev.cardamomlane.engine.forward.HostConnection
@@ -14,7 +16,7 @@
 /**
  * What the forwarded operations of one session need: who asks, for what, and over which connections.
  *
- * @property lastCommit the log position of the session's last commit, or null when there is none
+ * @property positions the session's own commits
  */
 internal class RemoteCall(
     val services: SessionServices,
@@ -22,7 +24,7 @@
     val database: String,
     val key: String?,
     val customerName: String,
-    val lastCommit: LogPosition?,
+    val positions: SessionPositions,
 ) {
     val forwarder: Forwarder get() = services.forwarder
     private val tried = HashSet<String>()
@@ -48,22 +50,32 @@
         database = database,
         key = key,
         transaction = transaction,
-        lastCommit = lastCommit,
+        lastCommit = positions.of(route.group),
         configurationVersion = maxOf(services.configuration.version, forwarder.newestVersion),
     )
 
+    /**
+     * The outcome of a step that a member answered with [answer].
+     *
+     * @param committed the commit that the member says it acknowledges; one that runs an earlier build says nothing
+     * @param acknowledgesWrites whether the step's success acknowledges a commit of writes
+     */
+    fun outcome(answer: OperationAnswer, committed: LogCommit?, acknowledgesWrites: Boolean): Outcome {
+        val isCommit = acknowledgesWrites && answer.error == null
+        return Outcome(
+            rows = answer.rows,
+            digest = answer.digest,
+            error = answer.error?.let { StatementError(it, answer.errorText) },
+            position = answer.position,
+            committed = committed ?: LogCommit(route.group, answer.position ?: LogPosition.END).takeIf { isCommit },
+        )
+    }
+
     companion object {
         /** How much longer than the route's timeout an answer is waited for: the serving host keeps the timeout. */
         const val ANSWER_MARGIN_MILLIS = 60L
 
         /** How many members are tried for one operation. */
         private const val MAX_HOSTS = 3
-
-        fun outcome(answer: OperationAnswer) = Outcome(
-            rows = answer.rows,
-            digest = answer.digest,
-            error = answer.error?.let { StatementError(it, answer.errorText) },
-            position = answer.position,
-        )
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.session
 
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.forward.HostConnection
 import dev.cardamomlane.engine.forward.OperationAnswer
@@ -85,27 +86,26 @@
         private val operation = connection.start(this)
 
         fun start() {
-            connection.send(
-                OperationRequest(
-                    operation = operation,
-                    start = call.start(TransactionKind.NONE),
-                    kind = if (isRead) StepKind.READ else StepKind.WRITE,
-                    id = statement.id,
-                    text = statement.text,
-                    shape = statement.plan?.shape,
-                    values = state.values,
-                ),
-                call.takeRefusedByHintCount(),
+            val request = OperationRequest(
+                operation = operation,
+                start = call.start(TransactionKind.NONE),
+                kind = if (isRead) StepKind.READ else StepKind.WRITE,
+                id = statement.id,
+                text = statement.text,
+                shape = statement.plan?.shape,
+                values = state.values,
             )
+            connection.send(request, call.positions.commits, call.takeRefusedByHintCount())
         }
 
         override fun onHint(hint: SendHint?) = call.onHint(hint)
 
-        override fun onAnswer(answer: OperationAnswer) {
+        override fun onAnswer(answer: OperationAnswer, committed: LogCommit?) {
             attempts -= this
             connection.finish(operation)
             call.forwarder.decidedBy(connection, answer.configurationVersion)
-            if (answer.error == ErrorCode.UNAVAILABLE) sendToNext() else finish(RemoteCall.outcome(answer))
+            if (answer.error == ErrorCode.UNAVAILABLE) return sendToNext()
+            finish(call.outcome(answer, committed, acknowledgesWrites = !isRead))
         }
 
         override fun onSilent() {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.session
 
 import dev.cardamomlane.core.TimerSubscription
+import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.forward.HostConnection
 import dev.cardamomlane.engine.forward.OperationAnswer
@@ -83,15 +84,17 @@
         }
         val values = step.values.takeIf { isFirst || it != sentValues }
         sentValues = step.values
-        connection?.send(
-            OperationRequest(operation, start, step.kind, step.id, step.text, step.shape, values),
-            if (isFirst) call.takeRefusedByHintCount() else 0,
-        )
+        val request = OperationRequest(operation, start, step.kind, step.id, step.text, step.shape, values)
+        if (!isFirst) {
+            connection?.send(request)
+        } else {
+            connection?.send(request, call.positions.commits, call.takeRefusedByHintCount())
+        }
     }
 
     override fun onHint(hint: SendHint?) = call.onHint(hint)
 
-    override fun onAnswer(answer: OperationAnswer) {
+    override fun onAnswer(answer: OperationAnswer, committed: LogCommit?) {
         val step = current ?: return
         connection?.let { call.forwarder.decidedBy(it, answer.configurationVersion) }
         if (!hasStarted && answer.error == ErrorCode.UNAVAILABLE) {
@@ -104,7 +107,7 @@
         } else if (answer.state != TransactionState.OPEN) {
             isFailed = true
         }
-        deliver(RemoteCall.outcome(answer))
+        deliver(call.outcome(answer, committed, acknowledgesWrites = step.kind == StepKind.COMMIT && hasWritten))
     }
 
     override fun onSilent() = Unit
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -3,6 +3,7 @@
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TimerSubscription
 import dev.cardamomlane.core.capacity.WorkKind
+import dev.cardamomlane.core.session.SessionPositions
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.group.DatabaseGroup
 import dev.cardamomlane.engine.group.InFlightWrite
@@ -30,7 +31,7 @@
     override val route: Route,
     val isReadOnly: Boolean,
     override val customerName: String,
-    private val ownPosition: LogPosition?,
+    private val positions: SessionPositions,
     private val startedAtMillis: Long,
 ) : OpenTransaction,
     WorkRunner,
@@ -86,7 +87,7 @@
             customerName = customerName,
             state = step.state,
             needsPrimary = !isReadOnly,
-            ownPosition = ownPosition,
+            positions = positions,
             arrivedAtMillis = startedAtMillis,
             queuedAtMillis = services.timers.nowMillis(),
             runner = this,
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeTargets.kt
@@ -263,6 +263,7 @@
     }
 
     private fun commit(writes: MutableList<String>) {
+        if (writes.isEmpty()) return
         for (write in writes) {
             target.log += write
             onCommit(target, write)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -186,15 +186,19 @@
         traffic = TrafficCounts()
     }
 
-    /** @param customers the name of the customer that holds each key */
+    /**
+     * @param customers the name of the customer that holds each key
+     * @param change makes each route from the usual one of its name
+     */
     fun configuration(
         version: Long,
         key: String = "key",
         databases: Set<String> = setOf("latest", "bounded", "session"),
         customers: Map<String, String> = mapOf(key to "press"),
+        change: (Route) -> Route = { it },
     ) = Configuration(
         version = version,
-        routes = databases.associateWith(::route).toImmutableMap(),
+        routes = databases.associateWith { change(route(it)) }.toImmutableMap(),
         customersByKey = customers.mapValues { (_, name) -> Customer(CustomerId(name), Allowance(1_000.0, 1_000.0)) }
             .toImmutableMap(),
         groups = mapOf(
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/TestEntries.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/TestEntries.kt
@@ -4,7 +4,7 @@
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.engine.target.TargetEntry
 
-/** An entry of the target [id] of the group `g`, whose address is its id. */
+/** An entry of the target [id] of [group], whose address is its id. */
 fun targetEntry(
     id: String,
     isPrimary: Boolean = false,
@@ -13,9 +13,10 @@
     sequence: Long = 0,
     zone: String = "a",
     warmUpMillis: Long = 0,
+    group: String = "g",
 ) = TargetEntry(
     id = TargetId(id),
-    group = DatabaseId("g"),
+    group = DatabaseId(group),
     address = id,
     zone = zone,
     slotCount = 5,
