Reads: the primary serves them whatever position they require of a replica

What callers saw: a session whose log was restored to a state before its last commit was refused each read ("no target ran it"), as was one that remembered a position its log no longer reached. Cause: a read that may run at replicas asked the primary too for the position, and left it out as known to be behind. Change: the primary is asked for no position while this host has proof that it leads, as for reads that must show every commit; what it has is all that counts. Result: OwnCommitsTest, `a session whose log does not reach its last commit any more is served by the primary`: failed before (BUSY at the fourth read), passes.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -226,9 +226,8 @@
             val (target, connection) = ready
             target.take(connection)
             queue.remove(work)
-            val isAtPrimary = target === primary && placement is Placement.Primary
-            if (!isAtPrimary && target === primary) dialReplica(work, usable, costOf)
-            work.run(target, connection, if (isAtPrimary) null else (placement as Placement.AnyAtPosition).position)
+            if (placement is Placement.AnyAtPosition && target === primary) dialReplica(work, usable, costOf)
+            work.run(target, connection, placement.requiredOf(target))
         } else if (nowMillis - work.dialedAtMillis > DIAL_INTERVAL_MILLIS) {
             val target = usable.filter { it.hasSlot() }.minByOrNull(costOf) ?: return
             if (target.dial(work.customerName)) work.dialedAtMillis = nowMillis
@@ -245,11 +244,18 @@
         is Placement.Primary ->
             if (isPrimaryUsable()) listOfNotNull(primary).filter { !work.avoids(it, nowMillis) } else emptyList()
         is Placement.AnyAtPosition -> roster.targets.filter { target ->
+            val required = placement.requiredOf(target)
             knowsDrains(nowMillis) && target.takesWork(nowMillis) && !work.avoids(target, nowMillis) &&
-                !isKnownBehind(target, placement.position, nowMillis)
+                (required == null || !isKnownBehind(target, required, nowMillis))
         }
     }
 
+    /** The position that [target] must have applied, or null for the primary, which has every commit that counts. */
+    private fun Placement.requiredOf(target: Target): LogPosition? = when (this) {
+        is Placement.Primary -> null
+        is Placement.AnyAtPosition -> position.takeUnless { target === primary && isPrimaryUsable() }
+    }
+
     private fun isKnownBehind(target: Target, position: LogPosition, nowMillis: Long): Boolean {
         val applied = target.appliedPosition ?: return false
         if (applied >= position) return false
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/OwnCommitsTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/OwnCommitsTest.kt
@@ -126,6 +126,15 @@
         assertTrue("s1" in placesOfReads(), "replicas serve reads of a session without commits in their log")
     }
 
+    /** Guards against reads that are refused for good, as their log was restored to a state before the session's commit. */
+    @Test
+    fun `a session whose log does not reach its last commit any more is served by the primary`() = played {
+        assertNull(ask(write)?.error)
+        for (id in listOf("p", "r1", "r2")) fixture.targets.target(id).position = LogPosition(3, 400)
+
+        assertEquals(setOf("p"), placesOfReads())
+    }
+
     /** Guards against a commit that counts as one in the log that the sender of the operation has in mind. */
     @Test
     fun `a commit counts in the log of the group that the serving host has chosen`() = played {
