PostgreSQL daemon: a position counts in the log of its database only

What callers saw: a session that gave a position beyond its log at its start, one of another database or of a log that was restored since, was refused each read: no target had applied it, and nothing ended that. Cause: the position that a caller takes along names no log, and a read at the primary that has not applied it is only sent again. Change: the daemon reports TERM:OFFSET@DATABASE, and takes no notice of a position of another database; one without a database, as before, counts as one of this. The session remembers it in SessionPositions, as the platform's daemon does. When the primary has not applied it, a poll of a majority that begins after the read gives a position that covers each acknowledged write, and the read asks for that. The load tool takes the position as a text. UnitOutcomeTest, WholePathTest and CallerTextFuzzTest pass.

--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/load/CallerConnection.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/load/CallerConnection.kt
@@ -2,7 +2,6 @@
 
 import dev.cardamomlane.bench.CustomerKey
 import dev.cardamomlane.bench.DaemonEndpoint
-import dev.cardamomlane.core.LogPosition
 import org.postgresql.PGConnection
 import java.sql.Connection
 import java.sql.DriverManager
@@ -11,8 +10,8 @@
 /** A connection of the unmodified PostgreSQL JDBC driver to a daemon. */
 internal class CallerConnection private constructor(val daemon: DaemonEndpoint, val jdbc: Connection) : AutoCloseable {
     /** The position of the last acknowledged write, as the daemon reported it, or null before the first report. */
-    val position: LogPosition?
-        get() = jdbc.unwrap(PGConnection::class.java).getParameterStatus(POSITION)?.let(LogPosition::parse)
+    val position: String?
+        get() = jdbc.unwrap(PGConnection::class.java).getParameterStatus(POSITION)
 
     override fun close() {
         runCatching { jdbc.close() }
@@ -32,7 +31,7 @@
             daemon: DaemonEndpoint,
             database: String,
             customer: CustomerKey,
-            position: LogPosition? = null,
+            position: String? = null,
             simpleQueries: Boolean = false,
             answerTimeoutSeconds: Int = 20,
         ): CallerConnection {
--- a/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/load/RoamingSession.kt
+++ b/cardamomlane-bench/src/main/kotlin/dev/cardamomlane/bench/load/RoamingSession.kt
@@ -6,7 +6,6 @@
 import dev.cardamomlane.bench.history.Operation
 import dev.cardamomlane.bench.history.OperationKind
 import dev.cardamomlane.bench.history.Outcome
-import dev.cardamomlane.core.LogPosition
 import java.sql.SQLException
 import kotlin.random.Random
 
@@ -31,7 +30,7 @@
     private val random = Random(seed)
     private var connection: CallerConnection? = null
     private var connectedWithPosition = false
-    private var lastPosition: LogPosition? = null
+    private var lastPosition: String? = null
     private var nextNumber = 0L
 
     /** Runs operations until [isStopRequested] and blocks until then. */
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptListener.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/AttemptListener.kt
@@ -15,6 +15,12 @@
      */
     fun onNotRun(target: TargetId, exclude: Boolean)
 
+    /**
+     * The answer was discarded, because the primary [target] has not applied the position that the session asks for. The
+     * primary may have been replaced, or the position may not be one of its log. The caller has seen nothing of an answer.
+     */
+    fun onBehind(target: TargetId)
+
     /** The unit may have run, and its rule allows it to run again. The caller has seen nothing of an answer. */
     fun onRepeatable(target: TargetId, reason: String)
 
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerSession.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerSession.kt
@@ -1,6 +1,8 @@
 package dev.cardamomlane.daemon.caller
 
 import dev.cardamomlane.core.LogPosition
+import dev.cardamomlane.core.session.LogCommit
+import dev.cardamomlane.core.session.SessionPositions
 import dev.cardamomlane.daemon.DatabaseGroup
 import dev.cardamomlane.wire.BackendWriter
 import dev.cardamomlane.wire.FrontendMessage
@@ -19,8 +21,7 @@
  * Runs the caller's units one at a time, in order; see [StatementUnit]. While [MAX_PENDING_UNITS] or more wait, reading
  * from the caller is paused, so that memory is bounded.
  *
- * @property position the session's minimum position, which the target of a read must have applied. It covers the
- *   session's own acknowledged writes and the position given at startup. Null until a minimum position is known.
+ * @param startPosition the position that the caller brings from an earlier session of this database, or null
  */
 internal class CallerSession(
     val link: MessageLink,
@@ -28,10 +29,11 @@
     val group: DatabaseGroup,
     val services: CallerServices,
     startupParameters: Map<String, String>,
-    var position: LogPosition?,
+    startPosition: LogPosition?,
     private val onEnd: (CallerSession) -> Unit,
 ) : MessageListener {
     val parameters = SessionParameters(startupParameters)
+    private var positions = SessionPositions.of(listOfNotNull(startPosition?.let { LogCommit(group.database, it) }))
     private val planner = UnitPlanner(group.database, identity.customer, services.facts)
     private val assembler = UnitAssembler(services.settings.maxMessageBytes)
     private val pendingUnits = ArrayDeque<StatementUnit>()
@@ -39,6 +41,12 @@
     private var draining = false
     private var ended = false
 
+    /**
+     * The session's minimum position in the log of [group], which the target of a read must have applied. It covers the
+     * session's own acknowledged writes and the position given at startup. Null until a minimum position is known.
+     */
+    val position: LogPosition? get() = positions.of(group.database)
+
     var transaction: PinnedTransaction? = null
 
     /** Whether the caller's transaction was rolled back or lost. Nothing runs until the caller ends it. */
@@ -122,10 +130,15 @@
         link.send(BackendWriter.readyForQuery(out, status))
     }
 
+    /** Remembers [position] in the log of [group], at which a write was acknowledged or which covers all that were. */
+    fun remember(position: LogPosition) {
+        positions = positions.after(LogCommit(group.database, position))
+    }
+
     /** Sends the position of an acknowledged write to the caller, which may give it when it opens another session. */
     fun reportPosition(position: LogPosition) {
-        val out = link.allocator.buffer()
-        link.send(BackendWriter.parameterStatus(out, POSITION_PARAMETER, position.toString()))
+        val text = StartupOptions.format(position, group.database)
+        link.send(BackendWriter.parameterStatus(link.allocator.buffer(), POSITION_PARAMETER, text))
     }
 
     /** Sends [error] to the caller and closes the connection. */
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerStartup.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/CallerStartup.kt
@@ -148,7 +148,7 @@
             group = checkNotNull(services.groups.group(database)),
             services = services,
             startupParameters = parameters,
-            position = StartupOptions.position(parameters["options"]),
+            startPosition = StartupOptions.position(parameters["options"], database),
             onEnd = { callerConnections.onSessionEnd(it) },
         )
         session = opened
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
@@ -135,7 +135,16 @@
             else -> {
                 frame.release()
                 if (state == State.RUNNING) {
-                    end { listener.onNotRun(place.dispatcher.target, exclude = isStale && !place.onPrimary) }
+                    val target = place.dispatcher.target
+                    end {
+                        if (isStale &&
+                            place.onPrimary
+                        ) {
+                            listener.onBehind(target)
+                        } else {
+                            listener.onNotRun(target, isStale)
+                        }
+                    }
                 }
             }
         }
@@ -233,7 +242,7 @@
     }
 
     private fun acknowledge(position: LogPosition, ready: ByteBuf) {
-        session.position = maxOf(position, session.position ?: position)
+        session.remember(position)
         session.group.observe(TargetEvent.Acknowledged(place.dispatcher.target, position))
         session.reportPosition(position)
         answer(ready)
--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitExecution.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitExecution.kt
@@ -40,6 +40,9 @@
     private var routeChoice: RouteChoice.Use? = null
     private var attempt: UnitAttempt? = null
     private var attemptCount = 0
+
+    /** A position that covers every write acknowledged before the unit, once the session's own was found not to be reached. */
+    private var coveringPosition: LogPosition? = null
     private var ended = false
 
     fun start() {
@@ -112,7 +115,7 @@
         if (session.position != null || plan.isWrite) return route()
         session.group.minimumPosition().subscribe(
             { minimumPosition ->
-                session.position = maxOf(minimumPosition, session.position ?: minimumPosition)
+                session.remember(minimumPosition)
                 route()
             },
             { cause -> retryLater("no minimum position: ${cause.message}") { findMinimumPosition() } },
@@ -123,7 +126,7 @@
         if (ended) return
         val request = RouteRequest(
             write = plan.isWrite || (plan.begins && !plan.beginsReadOnly),
-            minimumPosition = session.position ?: LogPosition.START,
+            minimumPosition = coveringPosition ?: session.position ?: LogPosition.START,
             maxAgeMillis = plan.decision.maxAgeMillis,
             excluded = excluded,
             load = { services.dispatcher(it).load },
@@ -213,6 +216,17 @@
         retryLater("the last target did not run the statement", millis = 1) { route() }
     }
 
+    override fun onBehind(target: TargetId) {
+        attempt = null
+        session.group.minimumPosition().subscribe(
+            { minimumPosition ->
+                coveringPosition = minimumPosition
+                onNotRun(target, exclude = false)
+            },
+            { onNotRun(target, exclude = false) },
+        )
+    }
+
     override fun onRepeatable(target: TargetId, reason: String) {
         if (services.retryBudget.tryRetry()) return onNotRun(target, exclude = true)
         onFailed(Refusals.outcomeUnknown("$reason, and the retry budget is used up"))
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/CallerTextFuzzTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/CallerTextFuzzTest.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.daemon.caller
 
+import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.rules.RuleSet
 import dev.cardamomlane.core.sql.StatementReader
 import org.junit.jupiter.api.Test
@@ -20,7 +21,7 @@
                 try {
                     StatementReader.read(text)
                     RuleSet.parse("rules", text)
-                    StartupOptions.position(text)
+                    StartupOptions.position(text, DatabaseId("orders-1"))
                 } catch (failure: Throwable) {
                     unexpected.merge("$failure for ${text.take(100)}", 1, Int::plus)
                 }
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/DataPathFixture.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/DataPathFixture.kt
@@ -63,9 +63,16 @@
         CallerServer(InetSocketAddress("127.0.0.1", 0), loops, tls = null, services, callerConnections).bind().block(),
     )
 
-    fun connect(user: String = "press", key: String = "key-1", database: String = "orders-1"): Connection {
+    /** @param position the position that the caller gives at startup, or null */
+    fun connect(
+        user: String = "press",
+        key: String = "key-1",
+        database: String = "orders-1",
+        position: String? = null,
+    ): Connection {
         val port = (server.address() as InetSocketAddress).port
-        val options = "sslmode=disable&preferQueryMode=simple&assumeMinServerVersion=15"
+        val given = position?.let { "&options=-c%20${CallerSession.POSITION_PARAMETER}=$it" }.orEmpty()
+        val options = "sslmode=disable&preferQueryMode=simple&assumeMinServerVersion=15$given"
         return DriverManager.getConnection("jdbc:postgresql://127.0.0.1:$port/$database?$options", user, key)
     }
 
--- a/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/UnitOutcomeTest.kt
+++ b/cardamomlane-daemon/src/test/kotlin/dev/cardamomlane/daemon/caller/UnitOutcomeTest.kt
@@ -111,6 +111,34 @@
         }
     }
 
+    /** Guards against a session whose reads are refused for good, as its position is not one of this log. */
+    @Test
+    fun `a read is served though the position given at startup is beyond its log`() {
+        val one = target(rows)
+        DataPathFixture(one, target(rows)).use { path ->
+            for (position in listOf("1:900", "9:1@orders-1")) {
+                path.connect(position = position).use { assertEquals("row", run(it, READ), position) }
+            }
+        }
+        assertEquals(
+            4,
+            one.statements.count {
+                it == READ
+            },
+            "each first answer is discarded, as the primary may be replaced",
+        )
+    }
+
+    /** Guards against a position in the log of one database that is taken for one of another. */
+    @Test
+    fun `a position of another database counts for nothing`() {
+        val one = target(rows)
+        DataPathFixture(one, target(rows)).use { path ->
+            path.connect(position = "1:900@payments").use { assertEquals("row", run(it, READ)) }
+        }
+        assertEquals(1, one.statements.count { it == READ })
+    }
+
     @Test
     fun `a read whose answers are all stale is refused as not run at its deadline`() {
         val stale = target(rows, applied = "1:4")
