--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCaller.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCaller.kt
@@ -64,6 +64,7 @@
                 0 -> start(isRead = true, action = session::read).isInTransaction
                 1 -> readInTransaction(session)
                 2 -> if (isReading) readInTransaction(session) else transact(session)
+                3 -> if (isReading) readInTransaction(session) else writeAndRead(session)
                 else -> {
                     val action = if (isReading) session::read else session::write
                     start(isRead = isReading, isCommit = !isReading, action = action).isInTransaction
@@ -74,6 +75,14 @@
         }
     }
 
+    /** Writes, and reads in a transaction that writes nothing at once after it. */
+    private fun writeAndRead(session: LoadSession): Boolean {
+        if (start(isCommit = true, action = session::write).isInTransaction) return true
+        if (!session.isOpen) return false
+        session.begin()
+        return readInTransaction(session)
+    }
+
     /** Returns whether the session is left inside a transaction, which ends it. */
     private fun transact(session: LoadSession): Boolean {
         var answer = start { session.beginTransaction(isReadOnly = false) }
@@ -150,7 +159,7 @@
         const val ODD_SHARE = 0.2
         const val CHANGE_SHARE = 12
         const val RARE_WRITE_SHARE = 12
-        const val OPERATION_KINDS = 4
+        const val OPERATION_KINDS = 5
         const val MAX_STATEMENTS = 6
         const val ROLLBACK_SHARE = 6
         const val LEAVE_SHARE = 5
