Log: a refusal by a target names the position that was asked for

Cause: `not_run` and `begin_denied` named a replica that lacked a position, but not which, so a position of another log looked like replicas that lag. Change: the field `after` in both lines, `-` when none was asked for. Result: none measured; the tests of the engine hold.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -184,7 +184,16 @@
         }
 
         private fun onNotRun(code: ErrorCode, answer: TargetAnswer) {
-            services.log.request(statement.id, "not_run", "target", target.entry.id.value, "code", code)
+            services.log.request(
+                statement.id,
+                "not_run",
+                "target",
+                target.entry.id.value,
+                "code",
+                code,
+                "after",
+                after ?: "-",
+            )
             if (code == ErrorCode.BUSY) target.backOff(BUSY_AVOID_MILLIS)
             complete(if (code == ErrorCode.BUSY) StatementEnd.Refused else StatementEnd.Unmeasured)
             if (code == ErrorCode.UNKNOWN_STATEMENT) connection.close() else connection.releaseOrClose(answer)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/TransactionExecution.kt
@@ -122,7 +122,7 @@
             target.finished(BEGIN, endOf(answer, tookMillis = null))
             when {
                 answer == null -> onStartFailed(target, connection, work, isCounted = false)
-                !answer.isSuccess -> onBeginRefused(work, target, connection, answer)
+                !answer.isSuccess -> onBeginRefused(work, target, connection, answer, after)
                 isFinished -> connection.rollback(limitMillis = route.timeoutMillis)
                 connection.isBeginDoubtful -> beginAnew(work, target, connection)
                 else -> {
@@ -163,9 +163,24 @@
         group.resubmit(work)
     }
 
-    private fun onBeginRefused(work: Work, target: Target, connection: PooledConnection, answer: TargetAnswer) {
+    private fun onBeginRefused(
+        work: Work,
+        target: Target,
+        connection: PooledConnection,
+        answer: TargetAnswer,
+        after: LogPosition?,
+    ) {
         connection.releaseOrClose(answer)
-        services.log.request(work.id, "begin_denied", "target", target.entry.id.value, "code", answer.error?.code)
+        services.log.request(
+            work.id,
+            "begin_denied",
+            "target",
+            target.entry.id.value,
+            "code",
+            answer.error?.code,
+            "after",
+            after ?: "-",
+        )
         work.avoid(target, services.timers.nowMillis() + BEGIN_REFUSED_AVOID_MILLIS)
         if (!isFinished) group.resubmit(work)
     }
