--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/session/SessionPositions.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/session/SessionPositions.kt
@@ -8,8 +8,9 @@
 /**
  * What a session remembers of its own commits: for each log, the highest position at which one was acknowledged to it.
  *
- * Only an acknowledged commit of a write raises a position, and only that of the log that holds the commit; see [after].
- * Nothing lowers or drops one: not a transaction without writes, not a promotion, not a log that was restored or that the
+ * Only an acknowledged commit of a write raises a position, and only that of the log that holds the commit; see [after]. A
+ * session that begins where its earlier commits are not known may start from a position that covers them. Nothing lowers or
+ * drops one: not a transaction without writes, not a promotion, not a log that was restored or that the
  * session leaves and returns to. So a log that has the position, or a primary that leads the log, holds every commit of
  * the session that no promotion rolled back.
  *
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/RouteChecks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/RouteChecks.kt
@@ -65,7 +65,7 @@
         val moved = movedStays()
         val changed = changedStays()
         return "${changed.size} stays of sessions on a changed route with ${served(changed)}, " +
-            "${moved.size} of them at another group with ${served(moved)}"
+            "${moved.size} at another group with ${served(moved)}"
     }
 
     private fun served(stays: List<List<SoakStatement>>): String {
