--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -330,7 +330,7 @@
     /** Closes idle sessions, a few at a time, so that their callers connect to other hosts. */
     private fun closeIdleSessionsWhenCutOff() {
         if (!cutOff.isCutOff()) return
-        for (session in sessions.filter { it.isIdle }.take(CUT_OFF_CLOSE_COUNT)) session.closeWhenIdle()
+        for (session in sessions.filter { it.isIdle && it.isOpen }.take(CUT_OFF_CLOSE_COUNT)) session.closeWhenIdle()
     }
 
     private fun onTick() {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/ForwardedOperations.kt
@@ -24,7 +24,7 @@
 
     override val configurationVersion: Long get() = services.configuration.version
 
-    /** True when no forwarded operation is under way. */
+    /** True when no forwarded operation is under way, and all answers are on their way. */
     val isIdle: Boolean get() = links.all { it.isIdle }
 
     /** Takes over a connection that another host opened, and returns the listener for its events. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperations.kt
@@ -60,6 +60,6 @@
         operations.values.toList().forEach(action)
     }
 
-    /** True when no operation is under way. */
-    val isIdle: Boolean get() = operations.isEmpty()
+    /** True when no operation is under way, and all answers are on their way. */
+    val isIdle: Boolean get() = operations.isEmpty() && !link.hasUnwritten
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -43,6 +43,9 @@
     /** True when no statement runs or waits and no transaction is open. */
     public val isIdle: Boolean get() = current == null && transaction == null && pending.isEmpty()
 
+    /** False once the session has ended. Its connection may be open until the last answer is sent. */
+    public val isOpen: Boolean get() = !isClosed
+
     /** Tells the caller that the session is open, or refuses it when the configuration does not allow it. */
     internal fun open() {
         if (isClosed) return
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/FakeHostLinks.kt
@@ -77,6 +77,8 @@
         private val unsent = ArrayList<HostMessage>()
         private val unansweredSteps = HashMap<Long, Int>()
 
+        override val hasUnwritten: Boolean get() = unsent.isNotEmpty()
+
         fun open() {
             isOpen = true
             unsent.forEach(::deliver)
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/caller/CallerSession.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/caller/CallerSession.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.standin.lane.line.Line
 import dev.cardamomlane.standin.lane.line.LineReader
+import dev.cardamomlane.standin.lane.line.ThrottledInput
 import dev.cardamomlane.standin.lane.record.RunRecord
 import dev.cardamomlane.standin.settings.SocketAddress
 import java.io.IOException
@@ -15,6 +16,7 @@
  * is not [isOpen].
  *
  * @param name of the session in the [record]
+ * @param readBytesPerMilli how fast the caller reads, with a small window; null for as fast as it can
  */
 internal class CallerSession(
     private val name: String,
@@ -24,6 +26,7 @@
     private val ids: StatementIds,
     private val record: RunRecord,
     answerTimeoutMillis: Int = 10_000,
+    readBytesPerMilli: Int? = null,
 ) : AutoCloseable {
     private val socket = Socket()
     private val reader: LineReader
@@ -44,9 +47,11 @@
     init {
         try {
             socket.tcpNoDelay = true
+            if (readBytesPerMilli != null) socket.receiveBufferSize = SMALL_WINDOW_BYTES
             socket.connect(InetSocketAddress(address.host, address.port), CONNECT_TIMEOUT_MILLIS)
             socket.soTimeout = answerTimeoutMillis
-            reader = LineReader(socket.getInputStream().buffered())
+            val input = socket.getInputStream()
+            reader = LineReader((readBytesPerMilli?.let { ThrottledInput(input, it) } ?: input).buffered())
             send(Line.of("START", database, key))
             val line = reader.read()
             isOpen = line != null && Line.word(line) == "READY"
@@ -120,5 +125,6 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MILLIS = 2_000
+        const val SMALL_WINDOW_BYTES = 64 * 1024
     }
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
@@ -11,6 +11,7 @@
     /** Commits are spread over the first 2.5 s, so that some of them are made. */
     RELEASE_AND_KILL_SPREAD({ ReleaseAndKill(firstCommitMillis = 0, commitStepMillis = 80) }),
     STOP_IN_TRANSACTION({ StopInTransaction() }),
+    SLOW_READERS({ SlowReaders(it) }),
     KEY_WITHDRAWAL({ KeyWithdrawal() }),
     FOREIGN_ROW({ ForeignRow() }),
     STEPPING_CLOCKS({ SteppingClocks(it) }),
