--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -115,13 +115,19 @@
     }
 
     /**
-     * Ends the operation under way if the newest configuration gives its key to nobody or to another customer. A
-     * transaction is rolled back within a second. Returns true if there was such an operation.
+     * Ends the operation under way if the newest configuration gives its key to nobody or to another customer, on public
+     * routes too, as targets are told the customer. A transaction is rolled back within a second. Returns true if there was such an operation.
      */
     internal fun endIfKeyWithdrawn(): Boolean {
         val withdrawnStatement = runningStatement?.takeUnless(operations::mayGoOn)
         val withdrawnTransaction = transaction?.takeUnless(operations::mayGoOn)
-        withdrawnStatement?.endUnsent(StatementError(ErrorCode.UNAUTHORIZED, KEY_WITHDRAWN))
+        withdrawnStatement?.endUnsent(
+            if (withdrawnStatement.route.isPublic) {
+                StatementError(ErrorCode.BUSY, KEY_MOVED)
+            } else {
+                StatementError(ErrorCode.UNAUTHORIZED, KEY_WITHDRAWN)
+            },
+        )
         withdrawnTransaction?.abort(KEY_WITHDRAWN, withinMillis = WITHDRAWN_KEY_MILLIS)
         return withdrawnStatement != null || withdrawnTransaction != null
     }
@@ -314,6 +320,9 @@
         private const val MAX_PENDING_STATEMENTS = 32
         private const val KEY_WITHDRAWN = "the key is not valid any more"
 
+        /** The refusal of an operation that began for another customer than the one that holds the key now. */
+        internal const val KEY_MOVED = "the key's customer has changed, not run"
+
         /**
          * How long a statement of a transaction may run on after its key was withdrawn. Leaves two of the three seconds in
          * which a configuration is to apply for the host to learn of it.
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/OperationStarter.kt
@@ -111,8 +111,11 @@
         then(route, customer)
     }
 
-    /** True when the newest configuration lets [operation] go on: the key is still its customer's, or needs not be. */
-    fun mayGoOn(operation: Operation): Boolean = operation.route.isPublic ||
+    /**
+     * True when the newest configuration lets [operation] go on: targets are told the customer that holds the key now, or
+     * none where nobody holds it.
+     */
+    fun mayGoOn(operation: Operation): Boolean =
         nameOf(key?.let { services.configuration.customersByKey[it] }) == operation.customerName
 
     private fun notAllowed(code: ErrorCode, text: String) = OperationRefusal(code, text, endsSession = true)
@@ -164,7 +167,13 @@
         if (admission.reason == RefusalReason.OVER_RATE && isWithinLimit && retriesLeft > 0) {
             services.timers.after(maxOf(1, admission.retryAfterMillis)) {
                 if (context.isWanted()) {
-                    withRoute(onRefused) { _, _ -> admit(context, route, customer, retriesLeft - 1, onRefused, then) }
+                    withRoute(onRefused) { _, holder ->
+                        if (nameOf(holder) != nameOf(customer)) {
+                            onRefused(OperationRefusal(ErrorCode.BUSY, CallerSession.KEY_MOVED, route))
+                        } else {
+                            admit(context, route, customer, retriesLeft - 1, onRefused, then)
+                        }
+                    }
                 }
             }
             return
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -108,6 +108,36 @@
         assertTrue(caller.isClosed)
     }
 
+    /** Guards against statements on a public route that targets run in the name of a customer that has lost the key (review/10). */
+    @Test
+    fun `on a public route a key that changes its customer ends the transaction, and the next one has the new name`() {
+        val newHolders = mapOf("withdrawn" to emptyMap(), "moved" to mapOf("key" to "guild"))
+        for ((change, holders) in newHolders) {
+            for (hostCount in listOf(1, FORWARDING_HOSTS)) {
+                val fixture = HostFixture(hostCount = hostCount, settleMillis = 3_000)
+                val members = fixture.store.seats.map { it.member.name }.toSet()
+                val host = fixture.hosts.indices.firstOrNull { "host-$it" !in members } ?: 0
+                fixture.hosts.forEach { it.configure(fixture.configuration(version = 2) { it.copy(isPublic = true) }) }
+                val caller = FakeCaller()
+                val session = fixture.open(caller, host = host)
+                fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
+                fixture.ask(session, caller, write)
+                val names = HashSet<String>()
+                fixture.targets.onBegin = { link, _, _ -> names += link.customerName }
+
+                fixture.hosts.forEach {
+                    it.configure(fixture.configuration(3, customers = holders) { it.copy(isPublic = true) })
+                }
+                fixture.timers.advance(10)
+
+                assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, write)), change)
+                fixture.ask(session, caller, Statement.Rollback)
+                assertNull(fixture.ask(session, caller, write, millis = 500)?.error, "$change, $hostCount hosts")
+                assertEquals(setOf(holders["key"] ?: CallerSession.ANONYMOUS_CUSTOMER), names, change)
+            }
+        }
+    }
+
     /** Guards against a commit that is answered as not run although its target makes it. */
     @Test
     fun `a commit that was sent before the key was withdrawn gets its true answer`() {
@@ -530,4 +560,9 @@
         assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
         assertEquals(ErrorCode.ABORTED, code(fixture.ask(session, caller, Statement.Commit)))
     }
+
+    private companion object {
+        /** More hosts than seats. */
+        const val FORWARDING_HOSTS = 14
+    }
 }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/KeyWithdrawalSchedule.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/KeyWithdrawalSchedule.kt
@@ -1,9 +1,11 @@
 package dev.cardamomlane.engine.session
+import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.statement.TargetStatement
 
 /**
  * A schedule in which the key of half of the callers is withdrawn, or given to another customer, at any moment. The hosts
- * learn of it one after another. The same configuration drops or changes a route.
+ * learn of it one after another. The same configuration drops or changes a route. In a third of the schedules routes are
+ * public, so that callers go on without the customer.
  */
 class KeyWithdrawalSchedule(seed: Long) : SessionSchedule(seed) {
     private val withdrawn = CUSTOMERS.keys.random(random)
@@ -11,14 +13,17 @@
     private val customersAfter = CUSTOMERS - withdrawn +
         if (random.nextInt(3) == 0) mapOf(withdrawn to "heir") else emptyMap()
     private val routesAfter = if (random.nextBoolean()) setOf("latest") else setOf("latest", "bounded", "session")
+    private val isPublic = seed % 3 == 0L
     private var withdrawnAtMillis = 0L
 
     /** Connections on which the customer still had a transaction open after the bound, whose commit was not sent before. */
     private var openTooLate = emptyList<String>()
 
+    override fun adjusted(route: Route): Route = route.copy(isPublic = isPublic)
+
     override fun play() {
         timers.advance(random.nextLong(500, 2_500))
-        val newer = fixture.configuration(version = 3, customers = customersAfter, databases = routesAfter)
+        val newer = fixture.configuration(3, databases = routesAfter, customers = customersAfter, change = ::adjusted)
         val delays = fixture.hosts.map { random.nextLong(MAX_NOTICE_MILLIS) }
         withdrawnAtMillis = timers.nowMillis() + delays.max()
         fixture.hosts.forEachIndexed { index, host -> at(delays[index]) { host.configure(newer) } }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SessionSchedule.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SessionSchedule.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.engine.FakeLink
 import dev.cardamomlane.engine.HostFixture
+import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.statement.ErrorCode
 import dev.cardamomlane.engine.statement.TargetStatement
 import kotlin.random.Random
@@ -36,7 +37,8 @@
     /** Plays the schedule and returns what broke a rule. */
     fun run(): List<String> {
         prepareTargets()
-        fixture.hosts.forEach { it.configure(fixture.configuration(version = 2, customers = CUSTOMERS)) }
+        val first = fixture.configuration(version = 2, customers = CUSTOMERS, change = ::adjusted)
+        fixture.hosts.forEach { it.configure(first) }
         callers = (0 until CALLERS).map { caller(it) }
         refuseSome()
         if (!isQuiet) disturb()
@@ -44,6 +46,9 @@
         return findings() + callers.flatMap { it.findings } + callers.flatMap(::untrue)
     }
 
+    /** Makes the routes of the schedule from the usual ones. */
+    protected open fun adjusted(route: Route): Route = route
+
     /** Lets the time of the schedule pass. */
     protected abstract fun play()
 
