--- a/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
+++ b/cardamomlane-daemon/src/main/kotlin/dev/cardamomlane/daemon/caller/UnitAttempt.kt
@@ -136,15 +136,8 @@
                 frame.release()
                 if (state == State.RUNNING) {
                     val target = place.dispatcher.target
-                    end {
-                        if (isStale &&
-                            place.onPrimary
-                        ) {
-                            listener.onBehind(target)
-                        } else {
-                            listener.onNotRun(target, isStale)
-                        }
-                    }
+                    val isBehind = isStale && place.onPrimary
+                    end { if (isBehind) listener.onBehind(target) else listener.onNotRun(target, exclude = isStale) }
                 }
             }
         }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/CallerSession.kt
@@ -116,7 +116,8 @@
 
     /**
      * Ends the operation under way if the newest configuration gives its key to nobody or to another customer, on public
-     * routes too, as targets are told the customer. A transaction is rolled back within a second. Returns true if there was such an operation.
+     * routes too, as targets are told the customer. A transaction is rolled back within a second. Returns true if there
+     * was such an operation.
      */
     internal fun endIfKeyWithdrawn(): Boolean {
         val withdrawnStatement = runningStatement?.takeUnless(operations::mayGoOn)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -108,7 +108,7 @@
         assertTrue(caller.isClosed)
     }
 
-    /** Guards against statements on a public route that targets run in the name of a customer that has lost the key (review/10). */
+    /** Guards against statements on a public route that run in the name of a customer that has lost the key (review/10). */
     @Test
     fun `on a public route a key that changes its customer ends the transaction, and the next one has the new name`() {
         val newHolders = mapOf("withdrawn" to emptyMap(), "moved" to mapOf("key" to "guild"))
