--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
@@ -95,7 +95,7 @@
         val waiting = operations[answer.operation] ?: return
         waiting.sentAtMillis = null
         waiting.listener.onHint(message.hint)
-        waiting.listener.onAnswer(answer, message.committed)
+        waiting.listener.onAnswer(answer, message.committedTo)
     }
 
     override fun onClosed() {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostMessage.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.forward
 
+import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.session.LogCommit
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
@@ -15,7 +16,7 @@
  * @property hint with an [answer] or its last [part], how many operations of the same customer and priority to send; null for all
  * @property part a part of an answer that is too long for one message
  * @property commits with a [request] that starts an operation, the own commits of the session that it is from, one a log
- * @property committed with an [answer] or its last [part], the commit of writes that it acknowledges
+ * @property committedTo with an [answer] or its last [part], the group in whose log it acknowledges a commit, at its position
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -29,5 +30,5 @@
     @CborLabel(7) val hint: SendHint? = null,
     @CborLabel(8) val part: AnswerPart? = null,
     @CborLabel(9) val commits: List<LogCommit> = emptyList(),
-    @CborLabel(10) val committed: LogCommit? = null,
+    @CborLabel(10) val committedTo: DatabaseId? = null,
 )
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -130,12 +130,12 @@
         val hint = sessions.hint(start)
         val parts = AnswerPart.of(message)
         if (parts.isEmpty()) {
-            return link.send(HostMessage(answer = message, hint = hint, committed = answer.committed))
+            return link.send(HostMessage(answer = message, hint = hint, committedTo = answer.committed?.log))
         }
         for (part in parts) {
             val isLast = part.answer != null
             link.send(
-                HostMessage(part = part, hint = hint.takeIf { isLast }, committed = answer.committed.takeIf { isLast }),
+                HostMessage(part = part, hint = hint.takeIf { isLast }, committedTo = answer.committed?.log.takeIf { isLast }),
             )
         }
     }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.session
 
+import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.core.session.SessionPositions
@@ -57,17 +58,18 @@
     /**
      * The outcome of a step that a member answered with [answer].
      *
-     * @param committed the commit that the member says it acknowledges; one that runs an earlier build says nothing
+     * @param committedTo the group in whose log the answer acknowledges a commit, as the member says; one that runs an earlier
+     *   build says nothing
      * @param acknowledgesWrites whether the step's success acknowledges a commit of writes
      */
-    fun outcome(answer: OperationAnswer, committed: LogCommit?, acknowledgesWrites: Boolean): Outcome {
-        val isCommit = acknowledgesWrites && answer.error == null
+    fun outcome(answer: OperationAnswer, committedTo: DatabaseId?, acknowledgesWrites: Boolean): Outcome {
+        val log = committedTo ?: route.group.takeIf { acknowledgesWrites && answer.error == null }
         return Outcome(
             rows = answer.rows,
             digest = answer.digest,
             error = answer.error?.let { StatementError(it, answer.errorText) },
             position = answer.position,
-            committed = committed ?: LogCommit(route.group, answer.position ?: LogPosition.END).takeIf { isCommit },
+            committed = log?.let { LogCommit(it, answer.position ?: LogPosition.END) },
         )
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
@@ -1,7 +1,7 @@
 package dev.cardamomlane.engine.session
 
+import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TimerSubscription
-import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.forward.HostConnection
 import dev.cardamomlane.engine.forward.OperationAnswer
@@ -100,12 +100,12 @@
 
         override fun onHint(hint: SendHint?) = call.onHint(hint)
 
-        override fun onAnswer(answer: OperationAnswer, committed: LogCommit?) {
+        override fun onAnswer(answer: OperationAnswer, committedTo: DatabaseId?) {
             attempts -= this
             connection.finish(operation)
             call.forwarder.decidedBy(connection, answer.configurationVersion)
             if (answer.error == ErrorCode.UNAVAILABLE) return sendToNext()
-            finish(call.outcome(answer, committed, acknowledgesWrites = !isRead))
+            finish(call.outcome(answer, committedTo, acknowledgesWrites = !isRead))
         }
 
         override fun onSilent() {
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
@@ -1,7 +1,7 @@
 package dev.cardamomlane.engine.session
 
+import dev.cardamomlane.core.DatabaseId
 import dev.cardamomlane.core.TimerSubscription
-import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.forward.HostConnection
 import dev.cardamomlane.engine.forward.OperationAnswer
@@ -94,7 +94,7 @@
 
     override fun onHint(hint: SendHint?) = call.onHint(hint)
 
-    override fun onAnswer(answer: OperationAnswer, committed: LogCommit?) {
+    override fun onAnswer(answer: OperationAnswer, committedTo: DatabaseId?) {
         val step = current ?: return
         connection?.let { call.forwarder.decidedBy(it, answer.configurationVersion) }
         if (!hasStarted && answer.error == ErrorCode.UNAVAILABLE) {
@@ -107,7 +107,7 @@
         } else if (answer.state != TransactionState.OPEN) {
             isFailed = true
         }
-        deliver(call.outcome(answer, committed, acknowledgesWrites = step.kind == StepKind.COMMIT && hasWritten))
+        deliver(call.outcome(answer, committedTo, acknowledgesWrites = step.kind == StepKind.COMMIT && hasWritten))
     }
 
     override fun onSilent() = Unit
