--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -135,7 +135,13 @@
         for (part in parts) {
             val isLast = part.answer != null
             link.send(
-                HostMessage(part = part, hint = hint.takeIf { isLast }, committedTo = answer.committed?.log.takeIf { isLast }),
+                HostMessage(
+                    part = part,
+                    hint = hint.takeIf {
+                        isLast
+                    },
+                    committedTo = answer.committed?.log.takeIf { isLast },
+                ),
             )
         }
     }
