Soak: calm, connecting and publishing are said once

Cause: RouteHistory had a copy of the soak's rule of what counts as calm, with its two times; SlowReaders connected on its own; withdrawn keys and changed routes were published by two copies of the same lines. Change: Disturbance.isCalm and its APPLY_MILLIS serve both checks; LaneInstallation.connect takes the speed of reading, and one publish both changes.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/LaneInstallation.kt
@@ -72,6 +72,7 @@
         customer: Int,
         database: String = OperatorConfig.CURRENT_DATABASE,
         key: String = customers[customer % customers.size].keys.first(),
+        readBytesPerMilli: Int? = null,
     ): CallerSession = CallerSession(
         name,
         hosts[host].plan.callerAddress,
@@ -79,22 +80,20 @@
         key,
         ids,
         record,
+        readBytesPerMilli = readBytesPerMilli,
     )
 
     /** Publishes the next configuration, in which customer number [customer] has only [keys]. */
     fun setKeys(customer: Int, keys: List<String>) {
-        platform.onLoop {
-            val next = platform.operator.config.withKeys(customers[customer].name, keys)
-            platform.operator.publish(next)
-        }
-        record.line("configuration ${platform.operator.config.revision} is acknowledged")
+        publish { it.withKeys(customers[customer].name, keys) }
     }
 
     /** Publishes the next configuration, in which [change] gives the routes, and returns it. */
-    fun changeRoutes(change: (List<OperatorConfig.Route>) -> List<OperatorConfig.Route>): OperatorConfig {
-        val next = platform.onLoop {
-            platform.operator.config.let { it.withRoutes(change(it.routes)) }.also(platform.operator::publish)
-        }
+    fun changeRoutes(change: (List<OperatorConfig.Route>) -> List<OperatorConfig.Route>): OperatorConfig =
+        publish { it.withRoutes(change(it.routes)) }
+
+    private fun publish(change: (OperatorConfig) -> OperatorConfig): OperatorConfig {
+        val next = platform.onLoop { change(platform.operator.config).also(platform.operator::publish) }
         record.line("configuration ${next.revision} is acknowledged")
         return next
     }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/SlowReaders.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/SlowReaders.kt
@@ -57,7 +57,13 @@
         var host = number % STOPPED_HOSTS
         while (!isOver.get()) {
             try {
-                connect(installation, number, host, isSlow).use { session -> use(session, isSlow, random) }
+                installation.connect(
+                    "c$number",
+                    host,
+                    number,
+                    OperatorConfig.BOUNDED_DATABASE,
+                    readBytesPerMilli = SLOW_BYTES_PER_MILLI.takeIf { isSlow },
+                ).use { session -> use(session, isSlow, random) }
             } catch (e: IOException) {
                 installation.record.line("caller $number: $e")
             }
@@ -66,17 +72,6 @@
         }
     }
 
-    private fun connect(installation: LaneInstallation, number: Int, host: Int, isSlow: Boolean): CallerSession =
-        CallerSession(
-            "c$number",
-            installation.hosts[host].plan.callerAddress,
-            OperatorConfig.BOUNDED_DATABASE,
-            installation.customers[number % installation.customers.size].keys.first(),
-            installation.ids,
-            installation.record,
-            readBytesPerMilli = if (isSlow) SLOW_BYTES_PER_MILLI else null,
-        )
-
     private fun use(session: CallerSession, isSlow: Boolean, random: Random) {
         while (session.isOpen && !isOver.get()) {
             count(session.run(if (isSlow) "READ $LONG_ITEM" else "READ ${random.nextInt(ITEMS)}a"), isSlow)
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/RouteHistory.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/RouteHistory.kt
@@ -29,10 +29,8 @@
 
     /** Whether no configuration older than [publication] may have decided on [statement]. */
     private fun isInForce(publication: Operator.Publication, statement: SoakStatement): Boolean {
-        val isCalm = disturbances.none {
-            !it.kind.isPlanned && it.overlaps(publication.atMillis - STABLE_MILLIS, statement.operationMillis)
-        }
-        val boundMillis = publication.atMillis + APPLY_MILLIS + if (isCalm) 0 else SKEW_MILLIS
+        val isCalm = Disturbance.isCalm(disturbances, publication.atMillis, statement.operationMillis)
+        val boundMillis = publication.atMillis + Disturbance.APPLY_MILLIS + if (isCalm) 0 else SKEW_MILLIS
         return boundMillis < statement.operationMillis || hasTakenEffect(publication, statement)
     }
 
@@ -46,8 +44,6 @@
     }
 
     private companion object {
-        const val STABLE_MILLIS = 4_000L
-        const val APPLY_MILLIS = 3_200L
         const val SKEW_MILLIS = 12_000L
 
         /** How long after an effect of a configuration a host may still go by an older one. */
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
@@ -149,7 +149,8 @@
         val withdrawals = disturbances.filter { it.kind == DisturbanceKind.KEY_WITHDRAWAL }
         return statements.filter { statement ->
             val withdrawal = withdrawals.find {
-                it.subject == statement.key && statement.sentMillis in it.startMillis + APPLY_MILLIS..it.endMillis
+                it.subject == statement.key &&
+                    statement.sentMillis in it.startMillis + Disturbance.APPLY_MILLIS..it.endMillis
             }
             withdrawal != null && statement.answer.isRunByTarget &&
                 isCalm(withdrawal.startMillis, statement.sentMillis)
@@ -167,7 +168,7 @@
 
     /** Whether nothing unplanned went on from a while before [fromMillis] until [toMillis]. */
     private fun isCalm(fromMillis: Long, toMillis: Long): Boolean =
-        disturbances.none { !it.kind.isPlanned && it.overlaps(fromMillis - STABLE_MILLIS, toMillis) }
+        Disturbance.isCalm(disturbances, fromMillis, toMillis)
 
     companion object {
         /** How long after the last disturbance the hosts may need to serve again. */
@@ -175,7 +176,6 @@
 
         /** At least one statement in this many must succeed then. */
         private const val SERVED_SHARE = 4
-        private const val STABLE_MILLIS = 4_000L
 
         /** How long after a pause a host may still send what it had decided on before. */
         private const val THAW_MILLIS = 300L
@@ -184,8 +184,6 @@
         private const val RATE_TOLERANCE = 1.1
         private const val RATE_SLACK = 20
 
-        /** The bound of 3 s, and some time until the configuration is written. */
-        private const val APPLY_MILLIS = 3_200L
         private const val EARLY_MILLIS = 3_000L
 
         /** How long after the grace time a cut still belongs to the stop. */
