Forwarding: a test for hosts that only know of a newer configuration

Cause: no test forwards a write from a host whose configuration is older than the one that it names to the member. Change: a case of OwnCommitsTest, and the guard log-for-older-configuration. Result: the case passes; bin/guards shows it red without the check.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/OwnCommitsTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/OwnCommitsTest.kt
@@ -148,6 +148,20 @@
         assertEquals(setOf("q"), placesOfReads())
     }
 
+    /** Guards against a host that goes by an older configuration than it names, and takes a commit for one in its own route's log. */
+    @Test
+    fun `a host that only knows of a newer configuration is told the group of each commit`() = played {
+        if (!isForwarded) return@played
+        fixture.hosts.filter { it !== forwarder }.forEach { it.configure(configuration(version = 2, toSecondGroup)) }
+        assertNull(ask(write)?.error)
+        fixture.targets.target("s1").position = fixture.targets.target("q").position
+        assertNull(ask(write)?.error)
+        forwarder.configure(configuration(version = 2, toSecondGroup))
+        useByOthers()
+
+        assertEquals(setOf("q"), placesOfReads())
+    }
+
     /** Guards against a position that a member takes for one of its own group's log. */
     @Test
     fun `the serving host looks up the session's commits in the log of the group that it has chosen`() = played {
