Hosts count what operations hold, and for how long

Cause: nothing showed that a connection, a slot or an operation was never given back; a log has single decisions only.

--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -219,6 +219,19 @@
     /** How many answers of [kind] this host has received from targets. */
     public fun uncertainAnswerCount(kind: UncertainAnswer): Long = groups.values.sumOf { it.uncertainAnswerCount(kind) }
 
+    /** What operations under way hold of [kind] on this host. */
+    public fun held(kind: HeldKind): Held = Held.of(
+        when (kind) {
+            HeldKind.TARGET_CONNECTION -> groups.values.flatMap { group ->
+                group.targets.flatMap { it.takenSinceMillis() }
+            }
+            HeldKind.QUEUE_PLACE -> groups.values.flatMap { it.queuedSinceMillis() }
+            HeldKind.FORWARDED_OPERATION -> buildList { forwarded.forEach { add(it.startedAtMillis) } }
+            HeldKind.REMOTE_OPERATION -> forwarder.startedAtMillis()
+        },
+        timers.nowMillis(),
+    )
+
     private fun zonesOfTargets(): Set<String> = targetList.entries.mapTo(HashSet()) { it.zone }
 
     /** Each datagram carries the drains, so that hosts which the store does not inform learn of them in time. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/Forwarder.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/Forwarder.kt
@@ -65,6 +65,9 @@
         onNewerConfiguration(connection.member, version)
     }
 
+    /** Since when each operation that runs on another host has been under way. */
+    internal fun startedAtMillis(): List<Long> = connections.values.flatMap { it.startedAtMillis() }
+
     /** Closes connections that have not been used for long. Called now and then. */
     internal fun closeUnused() {
         val nowMillis = timers.nowMillis()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/HostConnection.kt
@@ -41,11 +41,14 @@
     /** True while no operation is under way. */
     val isIdle: Boolean get() = operations.isEmpty()
 
+    /** Since when each operation has been under way. */
+    fun startedAtMillis(): List<Long> = operations.values.map { it.startedAtMillis }
+
     /** Starts an operation, whose steps [listener] gets answers to, and returns the number that identifies it. */
     fun start(listener: OperationListener): Long {
         usedAtMillis = timers.nowMillis()
         val operation = nextOperation++
-        operations[operation] = Waiting(listener)
+        operations[operation] = Waiting(listener, startedAtMillis = usedAtMillis)
         return operation
     }
 
@@ -164,7 +167,7 @@
         close()
     }
 
-    private class Waiting(val listener: OperationListener) {
+    private class Waiting(val listener: OperationListener, val startedAtMillis: Long) {
         /** When the step without an answer was sent, or null when there is none. */
         var sentAtMillis: Long? = null
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -28,7 +28,8 @@
     private val sessions: ForwardedSessions,
     private val onEnded: (Long) -> Unit,
 ) : CallerLink {
-    private val startedAtMillis = timers.nowMillis()
+    /** When the first step arrived. */
+    val startedAtMillis = timers.nowMillis()
     private var session: CallerSession? = null
     private var waitingStep: OperationRequest? = null
     private var isBeginning = false
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/group/DatabaseGroup.kt
@@ -105,6 +105,9 @@
         startQueued()
     }
 
+    /** Since when each statement that waits for a target has waited. */
+    internal fun queuedSinceMillis(): List<Long> = queue.inOrder().filter { !it.isOver }.map { it.queuedAtMillis }
+
     /** Starts or queues [work]. Refuses it at once when the queue is too long or no primary can be expected soon. */
     public fun submit(work: Work) {
         submittedAtMillis = timers.nowMillis()
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/PooledConnection.kt
@@ -33,7 +33,11 @@
         private set
 
     /** True while a statement or transaction owns the connection. */
-    internal var isTaken = false
+    internal val isTaken: Boolean get() = takenAtMillis != null
+
+    /** Since when a statement or transaction has owned the connection, or null while none does. */
+    internal var takenAtMillis: Long? = null
+        private set
     internal var lastUsedMillis = dialedAtMillis
         private set
 
@@ -61,6 +65,15 @@
         link = dialer.dial(target.entry, customerName, this)
     }
 
+    /** Makes one statement or transaction the owner of the connection, until [giveBack]. */
+    internal fun take() {
+        takenAtMillis = timers.nowMillis()
+    }
+
+    internal fun giveBack() {
+        takenAtMillis = null
+    }
+
     internal fun meets(need: ConnectionNeed): Boolean = when (need) {
         ConnectionNeed.ANY -> true
         ConnectionNeed.NO_ERROR -> !order.hasError
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/target/Target.kt
@@ -171,9 +171,12 @@
 
     /** Marks [connection] as owned by one statement or transaction. */
     internal fun take(connection: PooledConnection) {
-        connection.isTaken = true
+        connection.take()
     }
 
+    /** Since when each connection that a statement or transaction owns has been owned. */
+    internal fun takenSinceMillis(): List<Long> = connections.mapNotNull { it.takenAtMillis }
+
     /** Counts one more running statement of [kind]; [finished] must follow. */
     internal fun started(kind: WorkKind) {
         runningCount++
@@ -244,7 +247,7 @@
     }
 
     private fun controlOn(connection: PooledConnection, statement: TargetStatement, done: (TargetAnswer?) -> Unit) {
-        connection.isTaken = true
+        connection.take()
         var isAnswered = false
         val timeout = timers.after(CONTROL_TIMEOUT_MILLIS) {
             if (!isAnswered) connection.close()
@@ -307,7 +310,7 @@
     }
 
     internal fun released(connection: PooledConnection) {
-        connection.isTaken = false
+        connection.giveBack()
         if (isLeft || connection.isWornOut) connection.close()
         listener.onCapacity(this)
     }
