--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/StatementExecution.kt
@@ -22,6 +22,9 @@
  * Reads are hedged: one that gets no answer for long is also run at a second target, and the first answer counts. A
  * read is retried whenever its answer is lost. A write is sent again only after a target answered that it did not run
  * it; when its answer is lost, the outcome is unknown.
+ *
+ * An attempt that has no answer when another one's counts may still get one, but holds its connection and its slot no
+ * longer than the route's timeout from the start.
  */
 internal class StatementExecution(
     private val services: SessionServices,
@@ -47,8 +50,7 @@
     /** Queues [work]. Calls `done` once, at the latest after the route's timeout, unless [cancel] ends it before. */
     fun start(work: Work) {
         this.work = work
-        val timeoutMillis = route.timeoutMillis
-        timer = services.timers.after(timeoutMillis) { giveUp("no answer in time") }
+        timer = services.timers.after(route.timeoutMillis) { giveUp("no answer in time") }
         isQueued = true
         group.submit(work)
     }
@@ -80,14 +82,18 @@
     private fun finish(outcome: Outcome?) {
         if (isFinished) return
         isFinished = true
-        timer?.cancel()
+        cancelTimerIfUnused()
         work?.end()
         if (outcome != null) done(outcome)
     }
 
+    private fun cancelTimerIfUnused() {
+        if (isFinished && attempts.isEmpty()) timer?.cancel()
+    }
+
     override fun giveUp(reason: String) {
-        if (isFinished) return
         for (attempt in attempts.toList()) attempt.discard(StatementEnd.Lost)
+        if (isFinished) return
         finish(
             when {
                 !wasAnySent -> Outcome.error(ErrorCode.BUSY, "no target was free in time")
@@ -153,15 +159,10 @@
             }
         }
 
-        /**
-         * Counts a failure of the target, and closes the connection if the answer has not arrived by the route's
-         * timeout, so that the attempt does not hold its slot for good.
-         */
         private fun onOverdue() {
             if (!services.features.learnsCapacity) return
             isCountedAsOverdue = true
             target.failed()
-            services.timers.after(route.timeoutMillis) { discard() }
         }
 
         /** False when the statement failed in a way that the target may have caused. */
@@ -247,6 +248,7 @@
         private fun complete(end: StatementEnd) {
             isComplete = true
             attempts.remove(this)
+            cancelTimerIfUnused()
             group.writes.resolved(this)
             val isCounted = isCountedAsOverdue && end == StatementEnd.Lost
             target.finished(kind, if (isCounted) StatementEnd.Unmeasured else end)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HeldResourcesTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HeldResourcesTest.kt
@@ -82,6 +82,44 @@
         assertNothingHeld()
     }
 
+    /** Guards against a read that another target served, whose first target keeps a connection and a slot for good. */
+    @Test
+    fun `a hedged read whose first target never answers gives back its connection and its slot`() {
+        fixture.replicate()
+        val reader = open(serving, caller, "bounded")
+        listOf("r1", "r2").forEach { fixture.targets.target(it).losesAnswers() }
+
+        repeat(12) { assertNull(fixture.ask(reader, caller, read, millis = 400)?.error) }
+        fixture.timers.advance(1_000)
+
+        assertNothingHeld()
+    }
+
+    /** Guards against a new primary that a host can't use, since reads of before hold all of its connections there. */
+    @Test
+    fun `replicas that lost answers to reads serve writes once one is primary`() {
+        val replicas = listOf("r1", "r2").map(fixture.targets::target)
+        fixture.replicate()
+        replicas.forEach { it.losesAnswers() }
+        val readers = List(12) { FakeCaller() }
+        val sessions = readers.map { open(serving, it, "bounded") }
+        repeat(10) {
+            sessions.forEach { it.onStatement("r", read) }
+            fixture.timers.advance(800)
+        }
+        assertTrue(replicas.all { it.ran.size >= 5 }, "too few reads at the replicas")
+        assertEquals(120, readers.sumOf { it.answers.count { answer -> answer.error == null } })
+
+        replicas.forEach { it.lostAnswers = 0 }
+        primary.isDown = true
+        primary.isSilent = true
+        fixture.targets.links.filter { it.target === primary }.forEach { it.disconnect() }
+        fixture.timers.advance(8_000)
+
+        assertTrue(fixture.promotions.isNotEmpty())
+        assertNull(fixture.ask(open(serving, caller), caller, write, millis = 1_200)!!.error)
+    }
+
     @Test
     fun `a read that no target answers gives back everything`() {
         fixture.replicate()
