--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/GracefulStop.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/GracefulStop.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine
 
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.stop.StopTimes
 import dev.cardamomlane.engine.fleet.Fleet
 import dev.cardamomlane.engine.forward.ForwardedOperations
 import dev.cardamomlane.engine.log.DecisionLog
@@ -9,7 +10,7 @@
 import dev.cardamomlane.engine.statement.StatementError
 
 /**
- * Stops a host without cutting off the statements of its callers.
+ * Stops a host without cutting off the statements of its callers, at the times that [StopTimes] lists.
  *
  * Not safe for use by several threads.
  *
@@ -35,20 +36,20 @@
         private set
 
     /** Begins the stop, see [ProxyHost.stop]. Further calls have no effect. */
-    fun start(graceMillis: Long, stopAccepting: () -> Unit, done: () -> Unit) {
+    fun start(times: StopTimes, stopAccepting: () -> Unit, done: () -> Unit) {
         if (isStopping) return
         isStopping = true
         log.event("host", "stopping", "sessions", sessions.size)
         fleet.heartbeat()
         forwarded.leave()
-        timers.after(minOf(STOP_ACCEPTING_DELAY_MILLIS, graceMillis / 3)) {
+        timers.after(times.closingMillis) {
             isClosing = true
             stopAccepting()
             sessions.toList().forEach { it.closeWhenIdle() }
         }
-        timers.after(graceMillis / 2, ::endOperations)
-        timers.after(graceMillis - minOf(LAST_ANSWERS_MILLIS, graceMillis / 10), ::giveUp)
-        finish(timers.nowMillis() + graceMillis, done)
+        timers.after(times.endingMillis, ::endOperations)
+        timers.after(times.lastAnswersMillis, ::giveUp)
+        finish(timers.nowMillis() + times.endMillis, done)
     }
 
     private fun endOperations() {
@@ -79,11 +80,5 @@
     private companion object {
         const val REASON = "the host is stopping"
         const val POLL_INTERVAL_MILLIS = 50L
-
-        /** How long before its end a stopping host answers what is still under way, so that the answers are sent. */
-        const val LAST_ANSWERS_MILLIS = 100L
-
-        /** How long a stopping host serves new callers, so that the load balancer can take it out. */
-        const val STOP_ACCEPTING_DELAY_MILLIS = 2_200L
     }
 }
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/ProxyHost.kt
@@ -4,6 +4,7 @@
 import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.TargetId
 import dev.cardamomlane.core.TimerService
+import dev.cardamomlane.core.stop.StopTimes
 import dev.cardamomlane.engine.config.Configuration
 import dev.cardamomlane.engine.config.Features
 import dev.cardamomlane.engine.config.GroupPolicy
@@ -302,14 +303,11 @@
         }
 
     /**
-     * Begins a graceful stop. Callers are served as before for a while, until the load balancer sends them to other
-     * hosts. Then [stopAccepting] is called and sessions are closed as they become idle. Transactions that are still
-     * open after half of [graceMillis] are aborted, those with a statement under way at its end, and nothing new is begun.
-     * What is still under way shortly before the end of [graceMillis] is answered then. [done] is called when all sessions
-     * are closed or [graceMillis] have passed. Further calls have no effect.
+     * Begins a graceful stop, whose steps come at [times]. Calls [stopAccepting] when no new connections are wanted, and
+     * [done] when all sessions are closed, at the latest at the end of [times]. Further calls have no effect.
      */
-    public fun stop(graceMillis: Long, stopAccepting: () -> Unit, done: () -> Unit): Unit =
-        stop.start(graceMillis, stopAccepting, done)
+    public fun stop(times: StopTimes, stopAccepting: () -> Unit, done: () -> Unit): Unit =
+        stop.start(times, stopAccepting, done)
 
     override val configurationVersion: Long get() = configuration.version
 
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/CustomerPlacementTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/CustomerPlacementTest.kt
@@ -2,6 +2,7 @@
 
 import dev.cardamomlane.core.CustomerId
 import dev.cardamomlane.core.limits.Allowance
+import dev.cardamomlane.core.stop.StopTimes
 import dev.cardamomlane.engine.config.Configuration
 import dev.cardamomlane.engine.config.Customer
 import dev.cardamomlane.engine.statement.Access
@@ -71,7 +72,7 @@
         val member = fixture.store.seats.first().member.name.removePrefix("host-").toInt()
         val others = fixture.hosts.indices.filter { it != member }
 
-        fixture.hosts[member].stop(5_000, stopAccepting = {}) {}
+        fixture.hosts[member].stop(StopTimes(graceMillis = 5_000), stopAccepting = {}) {}
         val refused = run(seconds = 5, hosts = others)
 
         assertTrue(refused <= 2, "$refused of ${5 * TURNS_PER_SECOND * CUSTOMERS} refused")
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardedAnswersTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardedAnswersTest.kt
@@ -1,5 +1,6 @@
 package dev.cardamomlane.engine.forward
 
+import dev.cardamomlane.core.stop.StopTimes
 import dev.cardamomlane.engine.FakeCaller
 import dev.cardamomlane.engine.HostFixture
 import dev.cardamomlane.engine.statement.Access
@@ -29,7 +30,7 @@
     private val faults: Map<String, Setup.() -> Unit> = mapOf(
         "no fault" to {},
         "the target is slower than the time limit" to { primary.answersInMillis = 5_000 },
-        "the serving host stops" to { serving.stop(500, stopAccepting = {}) {} },
+        "the serving host stops" to { serving.stop(StopTimes(graceMillis = 500), stopAccepting = {}) {} },
         "the key is withdrawn" to {
             fixture.hosts.forEach { it.configure(fixture.configuration(version = 2, key = "new")) }
         },
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/forward/ForwardingTest.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.forward
 
 import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.stop.StopTimes
 import dev.cardamomlane.engine.ExecutedPlan
 import dev.cardamomlane.engine.FakeCaller
 import dev.cardamomlane.engine.HostFixture
@@ -251,7 +252,10 @@
         fixture.timers.advance(10)
         var isStopped = false
 
-        fixture.hosts[stopping.removePrefix("host-").toInt()].stop(5_000, stopAccepting = {}) { isStopped = true }
+        fixture.hosts[stopping.removePrefix("host-").toInt()].stop(StopTimes(graceMillis = 5_000), stopAccepting = {}) {
+            isStopped =
+                true
+        }
         val second = FakeCaller()
         val other = fixture.open(second, host = forwarder)
         other.onStatement("w2", Statement.Run(Access.WRITE, "WRITE 3 x"))
@@ -298,7 +302,7 @@
         val session = alone.open(caller)
         alone.ask(session, caller, write)
 
-        alone.hosts[0].stop(5_000, stopAccepting = {}) {}
+        alone.hosts[0].stop(StopTimes(graceMillis = 5_000), stopAccepting = {}) {}
         val answer = alone.ask(session, caller, write)
 
         assertNull(answer?.error)
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/CallerSessionTest.kt
@@ -1,6 +1,7 @@
 package dev.cardamomlane.engine.session
 
 import dev.cardamomlane.core.DatabaseId
+import dev.cardamomlane.core.stop.StopTimes
 import dev.cardamomlane.engine.FakeCaller
 import dev.cardamomlane.engine.HostFixture
 import dev.cardamomlane.engine.statement.Access
@@ -414,7 +415,7 @@
         fixture.ask(busySession, busy, Statement.Begin(isReadOnly = false))
         var isStopped = false
 
-        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) { isStopped = true }
+        fixture.hosts[0].stop(StopTimes(graceMillis = 5_000), stopAccepting = {}) { isStopped = true }
         assertFalse(fixture.hosts[0].isReady)
         fixture.timers.advance(1_800)
 
@@ -435,7 +436,7 @@
         fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
         fixture.ask(session, caller, write)
         primary.answersInMillis = 600
-        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) {}
+        fixture.hosts[0].stop(StopTimes(graceMillis = 5_000), stopAccepting = {}) {}
         fixture.timers.advance(2_300)
 
         val answer = fixture.ask(session, caller, read, millis = 601)
@@ -454,7 +455,7 @@
         fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
         fixture.ask(session, caller, write)
         primary.isSilent = true
-        fixture.hosts[0].stop(graceMillis = 1_000, stopAccepting = {}) {}
+        fixture.hosts[0].stop(StopTimes(graceMillis = 1_000), stopAccepting = {}) {}
         session.onStatement("c", Statement.Commit)
 
         fixture.timers.advance(950)
@@ -468,7 +469,7 @@
         val session = fixture.open(caller)
         fixture.ask(session, caller, Statement.Begin(isReadOnly = false))
         fixture.ask(session, caller, write)
-        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = {}) {}
+        fixture.hosts[0].stop(StopTimes(graceMillis = 5_000), stopAccepting = {}) {}
         fixture.timers.advance(2_600)
         assertEquals(listOf("WRITE 1 x", "ROLLBACK"), primary.ran)
 
@@ -482,7 +483,10 @@
         var isStopped = false
         val callers = ArrayList<FakeCaller>()
         val sessions = HashMap<FakeCaller, CallerSession>()
-        fixture.hosts[0].stop(graceMillis = 5_000, stopAccepting = { isAccepting = false }) { isStopped = true }
+        fixture.hosts[0].stop(StopTimes(graceMillis = 5_000), stopAccepting = { isAccepting = false }) {
+            isStopped =
+                true
+        }
         repeat(100) {
             if (!isStopped) {
                 val late = FakeCaller().also { callers += it }
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/ScheduledCaller.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/ScheduledCaller.kt
@@ -117,6 +117,7 @@
         }
         sent.answer = answer
         waitsSinceMillis = fixture.timers.nowMillis()
+        sent.answeredAtMillis = waitsSinceMillis
         val current = sent.operation
         val error = answer.error
         when {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/ScheduledOperation.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/ScheduledOperation.kt
@@ -18,6 +18,7 @@
 /** A statement that a caller sent, and the answer to it. */
 class SentStatement(val id: String, val text: String, val sentAtMillis: Long, val operation: ScheduledOperation) {
     var answer: CallerAnswer? = null
+    var answeredAtMillis: Long? = null
 
     /** True once the caller left without waiting for the answer. */
     var isLeft = false
