Soak: replicas drop answers while connections stay open, and databases must be served in the end

Change: kind DROPPED_ANSWERS; after the last disturbance each database, too, must have a quarter of its statements served. SoakChecksTest covers the new check.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/DisturbanceKind.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/DisturbanceKind.kt
@@ -11,6 +11,7 @@
     TARGET_CRASH(emptySet(), isPlanned = false),
     TARGET_RELEASE(emptySet(), isPlanned = true),
     LOST_ANSWERS(emptySet(), isPlanned = false),
+    DROPPED_ANSWERS(emptySet(), isPlanned = false),
     HOST_STOP(setOf(DisturbedPart.HOSTS), isPlanned = true),
     HOST_KILL(setOf(DisturbedPart.HOSTS), isPlanned = false),
     HOST_PAUSE(setOf(DisturbedPart.HOSTS), isPlanned = false),
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
@@ -54,6 +54,7 @@
             DisturbanceKind.TARGET_CRASH -> withTarget(mostlyPrimary()) { crash(it, downMillis()) }
             DisturbanceKind.TARGET_RELEASE -> withTarget(platform.targets.random(random)) { release(it, awayMillis()) }
             DisturbanceKind.LOST_ANSWERS -> withTarget(platform.targets.random(random), ::loseAnswers)
+            DisturbanceKind.DROPPED_ANSWERS -> dropAnswersAndCrash()
             DisturbanceKind.HOST_STOP -> restartHost { it.terminate(GRACE_MILLIS).get() }
             DisturbanceKind.HOST_KILL -> restartHost(HostProcess::kill)
             DisturbanceKind.HOST_PAUSE -> pauseHost()
@@ -154,6 +155,26 @@
         platform.onLoop { server.target.loseAnswers(0) }
     }
 
+    /**
+     * Replicas lose a share of their answers for seconds, up to a few times, without an end of the connections, and then the
+     * primary crashes. So one of them is promoted with which hosts may still have something open.
+     */
+    private fun dropAnswersAndCrash(): String {
+        val primary = platform.onLoop { platform.primaryServer() } ?: return ""
+        val replicas = platform.targets - primary
+        val downMillis = downMillis()
+        return withTargets(listOf(primary) + replicas) {
+            repeat(random.nextInt(1, MAX_DROPS + 1)) {
+                val share = random.nextDouble(MIN_DROPPED_SHARE, MAX_DROPPED_SHARE)
+                platform.onLoop { replicas.forEach { it.target.droppedShare = share } }
+                Thread.sleep(random.nextLong(MIN_DROP_MILLIS, MAX_DROP_MILLIS))
+                platform.onLoop { replicas.forEach { it.target.droppedShare = 0.0 } }
+                Thread.sleep(random.nextLong(DROP_PAUSE_MILLIS))
+            }
+            crash(primary, downMillis)
+        }
+    }
+
     private fun restartHost(end: (HostProcess) -> Unit): String {
         val host = installation.hosts.random(random)
         end(host)
@@ -324,6 +345,14 @@
     companion object {
         /** The time between SIGTERM and SIGKILL. */
         const val GRACE_MILLIS = 6_000L
+
+        /** How often, for how long and in what share replicas lose answers. */
+        private const val MAX_DROPS = 4
+        private const val MIN_DROPPED_SHARE = 0.3
+        private const val MAX_DROPPED_SHARE = 0.8
+        private const val MIN_DROP_MILLIS = 2_000L
+        private const val MAX_DROP_MILLIS = 4_500L
+        private const val DROP_PAUSE_MILLIS = 1_500L
         private const val DRAIN_MILLIS = 7_500L
         private const val DEAF_MILLIS = 6_000L
         private const val MIN_PAUSE_MILLIS = 200L
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecks.kt
@@ -58,7 +58,8 @@
         finding("customers got more than their rate", overRate()),
         finding("statements were cut by a planned stop", cutStatements()),
         finding("statements ran with a withdrawn key", withdrawnKeyStatements()),
-        finding("hosts do not serve after the last disturbance", idleHosts()),
+        finding("hosts do not serve after the last disturbance", unserved(SoakStatement::host)),
+        finding("databases are not served after the last disturbance", unserved(SoakStatement::database)),
     ).filterNotNull()
 
     /** How the reads of sessions whose route had changed ended. */
@@ -157,11 +158,11 @@
         }.map { it.answer.statementId }
     }
 
-    /** The hosts that answer less than a quarter of their statements with success once they had time to recover. */
-    private fun idleHosts(): List<String> {
+    /** The values of [of] for which less than a quarter of the statements succeed once hosts had time to recover. */
+    private fun unserved(of: (SoakStatement) -> String): List<String> {
         val calmSinceMillis = (disturbances.maxOfOrNull(Disturbance::endMillis) ?: 0) + RECOVERY_MILLIS
-        return statements.groupBy(SoakStatement::host).filterValues { ofHost ->
-            val late = ofHost.filter { it.sentMillis > calmSinceMillis }
+        return statements.groupBy(of).filterValues { ofOne ->
+            val late = ofOne.filter { it.sentMillis > calmSinceMillis }
             late.count { it.answer.isDone } * SERVED_SHARE <= late.size
         }.keys.toList()
     }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/LaneTarget.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/LaneTarget.kt
@@ -49,6 +49,9 @@
     /** How long a read, write or commit occupies a slot. */
     var statementMillis = settings.statementMillis
 
+    /** The share of the answers to reads, writes and commits that are lost while their connections stay open. */
+    var droppedShare = 0.0
+
     /** The most commits that were applied; a replica that falls further behind takes none of them back. */
     private var mostApplied = 0
 
@@ -147,6 +150,9 @@
         answersToLose = count
     }
 
+    /** Returns whether the present answer must be left out, see [droppedShare]. */
+    fun isAnswerDropped(): Boolean = group.isNext(droppedShare)
+
     /** Returns whether the present answer must be lost, and counts it. */
     fun consumeLostAnswer(): Boolean = (answersToLose > 0).also { if (it) answersToLose-- }
 
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetGroup.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetGroup.kt
@@ -40,6 +40,9 @@
 
     fun nextTransaction(): Int = nextTransaction++
 
+    /** Returns whether something happens that does in [share] of all cases. */
+    fun isNext(share: Double): Boolean = share > 0 && random.nextDouble() < share
+
     /** How much longer the next use of a slot takes. */
     fun nextExtraMillis(): Long = random.nextLong(settings.maxExtraMillis + 1)
 
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/target/TargetSession.kt
@@ -225,6 +225,8 @@
         if (target.consumeLostAnswer()) {
             group.listener.onEvent("target ${target.name} loses an answer")
             close()
+        } else if (target.isAnswerDropped()) {
+            group.listener.onEvent("target ${target.name} drops an answer")
         } else {
             val rows = content.rows.joinToString("") { Line.of("ROW", it) }
             answer(AnswerKind.RUN, rows + Line.of("DONE", digest))
--- a/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
+++ b/cardamomlane-standin/src/test/kotlin/dev/cardamomlane/standin/lane/soak/SoakChecksTest.kt
@@ -51,6 +51,7 @@
         isCommit: Boolean = true,
         text: String = "",
         isRead: Boolean = false,
+        database: String = OperatorConfig.BOUNDED_DATABASE,
     ) {
         history.sent.add(SentStatement(answer.statementId, text, answer.statementId, answer = answer))
         history.add(
@@ -58,7 +59,7 @@
                 host = "h",
                 key = "key",
                 session = "reader",
-                database = OperatorConfig.BOUNDED_DATABASE,
+                database = database,
                 operationId = answer.statementId,
                 operationMillis = sentMillis,
                 isRead = isRead,
@@ -292,7 +293,19 @@
         hasRecovered = false
         disturb(DisturbanceKind.STORE_OUTAGE, "", startMillis = 10_000, endMillis = 12_000)
         read("r", sentMillis = 9_000)
-        assertContains(finding(), "do not serve after the last disturbance: [h]")
+        assertContains(findings(), "1 hosts do not serve after the last disturbance: [h]")
+    }
+
+    /** Guards against a group whose new primary a host can't use, while other databases hide it. */
+    @Test
+    fun `a database that is not served after the last disturbance is found beside one that is`() {
+        disturb(DisturbanceKind.DROPPED_ANSWERS, "a b c", startMillis = 10_000, endMillis = 22_000)
+        for (number in 0 until 4) {
+            val answer = CallerAnswer("w$number", PlatformWords.BUSY.takeIf { number > 0 }, digest = "a.1")
+            if (answer.isDone) fixture.history.onRun("a", answer.statementId, answer.digest)
+            answered(answer, sentMillis = END_MILLIS, isCommit = false, isRead = true, database = "ledger")
+        }
+        assertEquals("1 databases are not served after the last disturbance: [ledger]", finding())
     }
 
     private companion object {
