A test for operations that wait for their rate while their key changes hands

Change: RateLimitTest has the case, with a key that stays, moves and is withdrawn; guard customer-of-waiting-operation. Result: red without the check (a read ran as the old customer); holds with it. No change of the program.

--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/RateLimitTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/RateLimitTest.kt
@@ -120,7 +120,47 @@
         assertTrue(loads[1].refused("bounded").all { it.code == ErrorCode.BUSY && "not run, retry after" in it.text })
     }
 
+    /** Guards against an operation that waits for the rate of one customer and then runs in the name of another's key. */
+    @Test
+    fun `an operation that waits for its rate is not run when its key has another customer by then`() {
+        for (holder in listOf("press", "guild", null)) {
+            val fixture = HostFixture()
+            fixture.hosts[0].configure(slowConfiguration(fixture, version = 2, holder = "press"))
+            val caller = FakeCaller()
+            val session = fixture.open(caller)
+            val names = ArrayList<String>()
+            fixture.targets.onBegin = { link, _, _ -> names += link.customerName }
+            repeat(MOST_WAITING) { session.onStatement("r$it", Statement.Run(Access.READ, "READ $it")) }
+            fixture.timers.advance(20)
+            val runBefore = names.size
+            assertTrue(caller.answers.size < MOST_WAITING, "no operation waits for its rate")
+
+            fixture.hosts[0].configure(slowConfiguration(fixture, version = 3, holder))
+            fixture.timers.advance(80)
+
+            val next = caller.answers[runBefore]
+            assertEquals(holder == "press", next.error == null, "$holder: ${next.error}")
+            val name = holder ?: CallerSession.ANONYMOUS_CUSTOMER
+            assertTrue(names.drop(runBefore).all { it == name }, "$holder: $names")
+        }
+    }
+
+    /** Two operations at once, and one every 50 ms. */
+    private fun slowConfiguration(fixture: HostFixture, version: Long, holder: String?): Configuration {
+        val base = fixture.configuration(version)
+        val customer = holder?.let { Customer(CustomerId(it), Allowance(SLOW_RATE, 1.0)) }
+        return Configuration(
+            version = version,
+            routes = base.routes.mapValues { (_, route) -> route.copy(isPublic = true) }.toImmutableMap(),
+            customersByKey = listOfNotNull(customer).associateBy { "key" }.toImmutableMap(),
+            groups = base.groups,
+            transactionIdleMillis = base.transactionIdleMillis,
+        )
+    }
+
     private companion object {
+        const val SLOW_RATE = 20.0
+        const val MOST_WAITING = 5
         const val RATE = 50.0
         const val TURN_MILLIS = 20L
         val DATABASES = listOf("latest", "session", "bounded")
