Stand-ins: a case of review/2 that counts acknowledged commits in the fault's window

Cause: review/2 holds with no commit acknowledged, since all are sent after the grace time, and the spread form misses the window; so neither shows that the fault is gone. Change: RELEASE_AND_KILL_HALVES commits every other transaction soon after the report, the others as review/2 does.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/CaseName.kt
@@ -9,7 +9,10 @@
     RELEASE_AND_KILL({ ReleaseAndKill() }),
 
     /** Commits are spread over the first 2.5 s, so that some of them are made. */
-    RELEASE_AND_KILL_SPREAD({ ReleaseAndKill(firstCommitMillis = 0, commitStepMillis = 80) }),
+    RELEASE_AND_KILL_SPREAD({ ReleaseAndKill { it * 80L } }),
+
+    /** Half of the commits come soon enough to be made, half at the moments of RELEASE_AND_KILL. */
+    RELEASE_AND_KILL_HALVES({ ReleaseAndKill(ReleaseAndKill::earlyOrLateMillis) }),
     STOP_IN_TRANSACTION({ StopInTransaction() }),
     SLOW_READERS({ SlowReaders(it) }),
     KEY_WITHDRAWAL({ KeyWithdrawal() }),
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/ReleaseAndKill.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/ReleaseAndKill.kt
@@ -13,13 +13,9 @@
  * A primary drains, and the host that hands it over is killed just after its promotion was accepted. Callers commit
  * meanwhile. No commit may be made at an old primary after a promotion has taken effect, and be acknowledged.
  *
- * @param firstCommitMillis from the report of the primary that it drains to the first commit
- * @param commitStepMillis between two commits
+ * @param commitMillis when each caller, by its number, commits after the primary's report that it drains
  */
-internal class ReleaseAndKill(
-    private val firstCommitMillis: Long = FIRST_COMMIT_MILLIS,
-    private val commitStepMillis: Long = COMMIT_STEP_MILLIS,
-) : ReviewCase {
+internal class ReleaseAndKill(private val commitMillis: (Int) -> Long = ::lateMillis) : ReviewCase {
     override val site = SitePlan.PRESS
 
     override fun run(installation: LaneInstallation, hasTrouble: Boolean): Verdict {
@@ -68,7 +64,7 @@
         val platform = installation.platform
         val primary = platform.onLoop { platform.primaryServer().also { if (hasTrouble) it?.target?.drain() } }
         sessions.forEachIndexed { index, session ->
-            tasks.startAfter(firstCommitMillis + index * commitStepMillis) {
+            tasks.startAfter(commitMillis(index)) {
                 val answer = session.run("COMMIT")
                 if (answer.isDone) acknowledged += answer.statementId
             }
@@ -100,16 +96,25 @@
         return begun.toList()
     }
 
-    private companion object {
-        const val ROUNDS = 8
-        const val LAST_ROUND_MILLIS = 95_000L
-        const val CALLERS = 32
-        const val FIRST_COMMIT_MILLIS = 1_320L
-        const val COMMIT_STEP_MILLIS = 8L
-        const val SERVES_ON_MILLIS = 7_500L
-        const val RESTART_MILLIS = 2_500L
-        const val TARGET_RESTART_MILLIS = 300L
-        const val READY_TIMEOUT_MILLIS = 20_000L
-        const val SETTLE_MILLIS = 2_000L
+    companion object {
+        /** Commits around the moment when a second host claims the takeover. */
+        fun lateMillis(caller: Int): Long = FIRST_COMMIT_MILLIS + caller * COMMIT_STEP_MILLIS
+
+        /** Every other caller commits as [lateMillis] says, the others soon enough to be acknowledged. */
+        fun earlyOrLateMillis(caller: Int): Long = when (caller % 2) {
+            0 -> caller * COMMIT_STEP_MILLIS
+            else -> lateMillis(caller)
+        }
+
+        private const val ROUNDS = 8
+        private const val LAST_ROUND_MILLIS = 95_000L
+        private const val CALLERS = 32
+        private const val FIRST_COMMIT_MILLIS = 1_320L
+        private const val COMMIT_STEP_MILLIS = 8L
+        private const val SERVES_ON_MILLIS = 7_500L
+        private const val RESTART_MILLIS = 2_500L
+        private const val TARGET_RESTART_MILLIS = 300L
+        private const val READY_TIMEOUT_MILLIS = 20_000L
+        private const val SETTLE_MILLIS = 2_000L
     }
 }
