Soak: looks at what hosts hold once no caller is left

Change: after the callers have left, HeldAtEnd reads cardamomlane_held of every host; what is held at each of eight looks, a second apart, is a finding, and so is a host that says nothing.

--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/host/HostProcess.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/host/HostProcess.kt
@@ -91,18 +91,22 @@
     }
 
     /** Asks the process whether it is ready. Blocks for up to a second. */
-    fun isReady(): Boolean = try {
-        val probe = URI("http://${plan.readyAddress}${PlatformWords.READY_PATH}").toURL().openConnection()
-        (probe as HttpURLConnection).run {
-            connectTimeout = PROBE_TIMEOUT_MILLIS
-            readTimeout = PROBE_TIMEOUT_MILLIS
-            (responseCode == HttpURLConnection.HTTP_OK).also { disconnect() }
-        }
+    fun isReady(): Boolean = get(PlatformWords.READY_PATH) { responseCode == HttpURLConnection.HTTP_OK } ?: false
+
+    /** Returns the metrics of the process as text, or null if it gives none. Blocks for up to a second. */
+    fun metrics(): String? = get(METRICS_PATH) { inputStream.bufferedReader().readText() }
+
+    private fun <T> get(path: String, read: HttpURLConnection.() -> T): T? = try {
+        val call = URI("http://${plan.readyAddress}$path").toURL().openConnection() as HttpURLConnection
+        call.connectTimeout = PROBE_TIMEOUT_MILLIS
+        call.readTimeout = PROBE_TIMEOUT_MILLIS
+        call.read().also { call.disconnect() }
     } catch (_: IOException) {
-        false
+        null
     }
 
     private companion object {
+        const val METRICS_PATH = "/metrics"
         const val PROBE_TIMEOUT_MILLIS = 500
         const val END_TIMEOUT_MILLIS = 5_000L
         val INHERITED_VARIABLES = listOf("PATH", "HOME", "JAVA_HOME", "LANG")
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/Disturber.kt
@@ -156,8 +156,8 @@
     }
 
     /**
-     * Replicas lose a share of their answers for seconds, up to a few times, without an end of the connections, and then the
-     * primary crashes. So one of them is promoted with which hosts may still have something open.
+     * Replicas lose a share of their answers for seconds, up to a few times, while their connections stay open, and then the
+     * primary crashes. So hosts may still wait for answers of the replica that is promoted.
      */
     private fun dropAnswersAndCrash(): String {
         val primary = platform.onLoop { platform.primaryServer() } ?: return ""
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/soak/SoakCommand.kt
@@ -156,7 +156,7 @@
         val primaries = platform.onLoop { platform.groups.mapNotNull { it.primary() } }
         if (primaries.size < platform.groups.size) return Verdict.NotRun("no target leads a group at the end")
         val checks = platform.onLoop { checks(installation, history, primaries) }
-        val findings = platform.onLoop(checks::findings)
+        val findings = platform.onLoop(checks::findings) + kept(installation)
         val statements = history.statements()
         val doneCount = statements.count { it.answer.isDone }
         if (doneCount == 0) return Verdict.NotRun("no statement succeeded")
@@ -170,6 +170,12 @@
         return Verdict.of(findings.isNotEmpty(), (findings + summary).joinToString("; "))
     }
 
+    /** No caller is connected any more, so that every route's timeout and the longest pause in a transaction end in time. */
+    private fun kept(installation: LaneInstallation): List<String> =
+        HeldAtEnd { installation.hosts.associate { it.plan.name to it.metrics() } }
+            .kept(HELD_LOOKS) { Thread.sleep(HELD_PAUSE_MILLIS) }
+            .map { "$it though no caller is left" }
+
     private fun checks(installation: LaneInstallation, history: SoakHistory, primaries: List<LaneTarget>) = SoakChecks(
         history,
         installation.platform.history,
@@ -183,6 +189,8 @@
     private companion object {
         const val CALLERS_PER_HOST = 3
         const val DISTURBERS = 3
+        const val HELD_LOOKS = 8
+        const val HELD_PAUSE_MILLIS = 1_000L
         const val SEED_STEP = 1_000L
         const val ODD_SHARE = 0.2
         const val FIRST_COMMITS = 1_000
