Forwarding: the first step is sent, and an unknown position is read, in one place

Cause: RemoteStatement and RemoteTransaction each listed what goes along with the first step, Outcome and RemoteCall each took a position that was not reported for the end of the log, and IncomingOperation built its messages in three ways. Change: RemoteCall.sendFirst and LogCommit.of serve both; the last message of an answer is one template. Result: no change of behaviour.

--- a/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/session/LogCommit.kt
+++ b/cardamomlane-core/src/main/kotlin/dev/cardamomlane/core/session/LogCommit.kt
@@ -14,4 +14,9 @@
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @CborArray
-public data class LogCommit(val log: DatabaseId, val position: LogPosition)
+public data class LogCommit(val log: DatabaseId, val position: LogPosition) {
+    public companion object {
+        /** The commit in [log] that a target acknowledged with [position], which is null if it reported none. */
+        public fun of(log: DatabaseId, position: LogPosition?): LogCommit = LogCommit(log, position ?: LogPosition.END)
+    }
+}
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/forward/IncomingOperation.kt
@@ -127,26 +127,11 @@
             position = answer.position,
             configurationVersion = sessions.configurationVersion,
         )
-        val hint = sessions.hint(start)
         val committedTo = answer.committed?.log?.takeIf { mayDiffer() }
+        val last = HostMessage(hint = sessions.hint(start), committedTo = committedTo)
         val parts = AnswerPart.of(message)
-        if (parts.isEmpty()) {
-            return link.send(HostMessage(answer = message, hint = hint, committedTo = committedTo))
-        }
-        for (part in parts) {
-            val isLast = part.answer != null
-            link.send(
-                if (isLast) {
-                    HostMessage(
-                        part = part,
-                        hint = hint,
-                        committedTo = committedTo,
-                    )
-                } else {
-                    HostMessage(part = part)
-                },
-            )
-        }
+        if (parts.isEmpty()) return link.send(last.copy(answer = message))
+        for (part in parts) link.send(if (part.answer != null) last.copy(part = part) else HostMessage(part = part))
     }
 
     /** True when the other host may go by another configuration than this one, and so expect another group. */
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/Outcome.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/Outcome.kt
@@ -30,7 +30,7 @@
             answer.digest,
             answer.error,
             answer.position,
-            LogCommit(log, answer.position ?: LogPosition.END),
+            LogCommit.of(log, answer.position),
         )
 
         fun error(code: ErrorCode, text: String): Outcome =
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteCall.kt
@@ -1,13 +1,13 @@
 package dev.cardamomlane.engine.session
 
 import dev.cardamomlane.core.DatabaseId
-import dev.cardamomlane.core.LogPosition
 import dev.cardamomlane.core.session.LogCommit
 import dev.cardamomlane.core.session.SessionPositions
 import dev.cardamomlane.engine.config.Route
 import dev.cardamomlane.engine.forward.Forwarder
 import dev.cardamomlane.engine.forward.HostConnection
 import dev.cardamomlane.engine.forward.OperationAnswer
+import dev.cardamomlane.engine.forward.OperationRequest
 import dev.cardamomlane.engine.forward.OperationStart
 import dev.cardamomlane.engine.forward.SendHint
 import dev.cardamomlane.engine.forward.ServingPlace
@@ -38,9 +38,14 @@
         return place.connection
     }
 
-    /** How many operations like this one were refused here by a hint, to send along with the first step. */
-    fun takeRefusedByHintCount(): Int =
-        forwarder.hints.takeRefusedCount(customerName, route.priority, services.timers.nowMillis())
+    /**
+     * Sends [request], the first step of an operation, over [connection], along with what the member has to know of the
+     * session and how many operations like this one were refused here by a hint.
+     */
+    fun sendFirst(connection: HostConnection, request: OperationRequest) {
+        val refusedCount = forwarder.hints.takeRefusedCount(customerName, route.priority, services.timers.nowMillis())
+        connection.send(request, positions.commits, namesGroup, refusedCount)
+    }
 
     fun onHint(hint: SendHint?) {
         if (!services.features.schedulesByValue) return
@@ -48,7 +53,7 @@
     }
 
     /** True when a member that goes by the newest configuration may choose another group than [route] does. */
-    val namesGroup: Boolean = services.configuration.version < forwarder.newestVersion
+    private val namesGroup: Boolean = services.configuration.version < forwarder.newestVersion
 
     fun start(transaction: TransactionKind) = OperationStart(
         database = database,
@@ -72,7 +77,7 @@
             digest = answer.digest,
             error = answer.error?.let { StatementError(it, answer.errorText) },
             position = answer.position,
-            committed = log?.let { LogCommit(it, answer.position ?: LogPosition.END) },
+            committed = log?.let { LogCommit.of(it, answer.position) },
         )
     }
 
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteStatement.kt
@@ -95,7 +95,7 @@
                 shape = statement.plan?.shape,
                 values = state.values,
             )
-            connection.send(request, call.positions.commits, call.namesGroup, call.takeRefusedByHintCount())
+            call.sendFirst(connection, request)
         }
 
         override fun onHint(hint: SendHint?) = call.onHint(hint)
--- a/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
+++ b/cardamomlane-engine/src/main/kotlin/dev/cardamomlane/engine/session/RemoteTransaction.kt
@@ -85,11 +85,8 @@
         val values = step.values.takeIf { isFirst || it != sentValues }
         sentValues = step.values
         val request = OperationRequest(operation, start, step.kind, step.id, step.text, step.shape, values)
-        if (!isFirst) {
-            connection?.send(request)
-        } else {
-            connection?.send(request, call.positions.commits, call.namesGroup, call.takeRefusedByHintCount())
-        }
+        val serving = connection ?: return
+        if (isFirst) call.sendFirst(serving, request) else serving.send(request)
     }
 
     override fun onHint(hint: SendHint?) = call.onHint(hint)
