--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HeldResourcesTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HeldResourcesTest.kt
@@ -36,21 +36,7 @@
     private fun open(host: ProxyHost, caller: FakeCaller, database: String = "latest"): CallerSession =
         host.openSession(caller, database, "key")
 
-    private fun held(): Map<HeldKind, Int> = fixture.hosts
-        .flatMap { host -> HeldKind.entries.map { it to host.held(it).count } }
-        .groupBy({ it.first }, { it.second })
-        .mapValues { it.value.sum() }
-        .filterValues { it > 0 }
-
-    private fun assertNothingHeld() {
-        assertEquals(emptyMap(), held())
-        assertEquals(
-            emptyMap(),
-            group.targets.associate {
-                it.entry.id.value to it.runningCount
-            }.filterValues { it > 0 },
-        )
-    }
+    private fun assertNothingHeld() = assertEquals(emptyList(), fixture.held())
 
     /** Keeps the answers of all callers' statements that the target runs, without an end of its connections. */
     private fun FakeTarget.losesAnswers() {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/HostFixture.kt
@@ -267,6 +267,15 @@
         return acknowledged
     }
 
+    /** What hosts hold of each kind, and the statements that they count as running at targets. */
+    fun held(): List<String> = hosts.flatMapIndexed { index, host ->
+        val held = HeldKind.entries.map { it to host.held(it) }.filter { (_, held) -> held.count > 0 }
+            .map { (kind, held) -> "host-$index holds ${held.count} ${kind.label}, one for ${held.oldestMillis} ms" }
+        val running = host.group(DatabaseId("g"))?.targets.orEmpty().filter { it.runningCount > 0 }
+            .map { "host-$index counts ${it.runningCount} statements at ${it.entry.id.value}" }
+        held + running
+    }
+
     /** Advances the replicas to the primary's log position. */
     fun replicate() {
         for (id in listOf("r1", "r2")) targets.target(id).position = targets.target("p").position
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SilenceSchedule.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/SilenceSchedule.kt
@@ -1,8 +1,5 @@
 package dev.cardamomlane.engine.session
 
-import dev.cardamomlane.core.DatabaseId
-import dev.cardamomlane.engine.HeldKind
-
 /**
  * A schedule in which targets lose answers, and paths between hosts and replicas carry nothing, for spells at any moment,
  * while their connections stay open. Then all is well again, callers go on for a while, and leave in the end.
@@ -34,17 +31,7 @@
         at(random.nextLong(MAX_SPELL_MILLIS)) { fixture.targets.partitionedPaths -= path }
     }
 
-    override fun findings(): List<String> = held() + running() + unserved()
-
-    private fun held(): List<String> = fixture.hosts.flatMapIndexed { index, host ->
-        HeldKind.entries.map { it to host.held(it) }.filter { (_, held) -> held.count > 0 }
-            .map { (kind, held) -> "host-$index holds ${held.count} ${kind.label}, one for ${held.oldestMillis} ms" }
-    }
-
-    private fun running(): List<String> = fixture.hosts.flatMapIndexed { index, host ->
-        host.group(DatabaseId("g"))?.targets.orEmpty().filter { it.runningCount > 0 }
-            .map { "host-$index counts ${it.runningCount} statements at ${it.entry.id.value}" }
-    }
+    override fun findings(): List<String> = fixture.held() + unserved()
 
     /** Whether less than a quarter of the late statements succeed, though a quarter or more did before the first spell. */
     private fun unserved(): List<String> {
--- a/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/StopScheduleTest.kt
+++ b/cardamomlane-engine/src/test/kotlin/dev/cardamomlane/engine/session/StopScheduleTest.kt
@@ -9,13 +9,9 @@
     /** Guards against statements of open transactions that go on through a stop and are cut when the process ends. */
     @Test
     fun `a stop answers every statement, cuts none that a target runs and begins none that can't end`() {
-        var begunCount = 0
-        val findings = Schedules.seeds().flatMap { seed ->
-            val schedule = StopSchedule(seed)
-            schedule.run().map { "seed $seed: $it" }.also { begunCount += schedule.begunCount }
-        }
+        val played = Schedules.play(::StopSchedule)
 
-        assertEquals(emptyList(), findings.take(Schedules.SHOWN_FINDINGS))
-        assertTrue(begunCount > Schedules.count * 20, "$begunCount statements were begun")
+        assertEquals(emptyList(), played.findings.take(Schedules.SHOWN_FINDINGS))
+        assertTrue(played.begunCount > Schedules.count * 20, "${played.begunCount} statements were begun")
     }
 }
--- a/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/SlowReaders.kt
+++ b/cardamomlane-standin/src/main/kotlin/dev/cardamomlane/standin/lane/cases/SlowReaders.kt
@@ -37,7 +37,7 @@
             for (host in installation.hosts.take(STOPPED_HOSTS)) {
                 Thread.sleep(BETWEEN_STOPS_MILLIS + Random(seed).nextLong(BETWEEN_STOPS_MILLIS))
                 if (!hasTrouble) continue
-                host.terminate(GRACE_MILLIS).get()
+                host.terminate().get()
                 host.start()
             }
             Thread.sleep(BETWEEN_STOPS_MILLIS)
@@ -102,7 +102,6 @@
         const val MAX_PAUSE_MILLIS = 1_500L
         const val RECONNECT_MILLIS = 100L
         const val BETWEEN_STOPS_MILLIS = 3_000L
-        const val GRACE_MILLIS = 6_000L
         const val SEED_STEP = 1_000L
     }
 }
